The whole path, thin: callers, owners, backend servers, configuration

A request goes from a caller through an entry VM to the owner of a server group and on to a backend server; the configuration is published through the platform's stand-in. Tried by hand on loopback: status, keyed order and its repeat through another VM, a 20 MB upload, a request bound to the other region, a graceful stop that hands its group over.

--- /dev/null
+++ b/include/agatedale/agatedale.h
@@ -0,0 +1,26 @@
+/// \file
+/// Everything that a user of the library needs.
+#pragma once
+
+#include "agatedale/clock.h"
+#include "agatedale/configuration.h"
+#include "agatedale/configuration_state.h"
+#include "agatedale/entry_node.h"
+#include "agatedale/entry_vm.h"
+#include "agatedale/event_log.h"
+#include "agatedale/fair_queue.h"
+#include "agatedale/key_table.h"
+#include "agatedale/lease.h"
+#include "agatedale/link_account.h"
+#include "agatedale/metrics.h"
+#include "agatedale/platform_client.h"
+#include "agatedale/platform_service.h"
+#include "agatedale/publishing.h"
+#include "agatedale/result.h"
+#include "agatedale/retry_budget.h"
+#include "agatedale/roster.h"
+#include "agatedale/server_group.h"
+#include "agatedale/settings.h"
+#include "agatedale/slot_limit.h"
+#include "agatedale/verdict.h"
+#include "agatedale/zone_choice.h"
--- /dev/null
+++ b/include/agatedale/configuration_state.h
@@ -0,0 +1,68 @@
+/// \file
+/// The configuration that is in force on a node.
+#pragma once
+
+#include "agatedale/clock.h"
+#include "agatedale/configuration.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace agatedale {
+
+/// One published version of the configuration.
+struct published_configuration {
+  std::uint64_t Version = 0;
+  std::string ChangeId; ///< Of the publish that made it.
+  std::string Operator;
+  std::string Document;
+};
+
+/// Holds the newest version that this node has seen and never steps back. It
+/// also tells whether the node may take new work: a node that has heard neither
+/// the store nor a peer for the lease may be missing a newer version.
+///
+///   configuration_state State = configuration_state::create(Lease);
+///   State.offer(Published, Parsed);
+///   State.onContact(Now);
+///   if (State.mayServe(Now)) ...
+class configuration_state {
+public:
+  /// \p Lease is how long a node serves without hearing store or peer.
+  static configuration_state create(duration Lease) {
+    return configuration_state(Lease);
+  }
+
+  /// Takes \p Offer into force if it is newer; false when it is not.
+  bool offer(const published_configuration &Offer,
+             std::shared_ptr<const configuration> Parsed) {
+    if (Offer.Version <= Published.Version)
+      return false;
+    Published = Offer;
+    Current = std::move(Parsed);
+    return true;
+  }
+
+  /// Records that the store or a peer of the fleet answered.
+  void onContact(time_point Now) { LastContact = std::max(LastContact, Now); }
+
+  /// Returns true while the node has a configuration and is not cut off.
+  bool mayServe(time_point Now) const {
+    return Current && Now - LastContact < Lease;
+  }
+
+  std::uint64_t version() const { return Published.Version; }
+  const published_configuration &published() const { return Published; }
+  std::shared_ptr<const configuration> current() const { return Current; }
+
+private:
+  explicit configuration_state(duration Lease) : Lease(Lease) {}
+
+  duration Lease;
+  published_configuration Published;
+  std::shared_ptr<const configuration> Current;
+  time_point LastContact{};
+};
+
+} // namespace agatedale
--- /dev/null
+++ b/include/agatedale/entry_vm.h
@@ -0,0 +1,134 @@
+/// \file
+/// Entry VMs, their identities, and the order in which they own things.
+#pragma once
+
+#include "agatedale/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace agatedale {
+
+/// One life of the process on an entry VM. A restarted process is another
+/// identity, so it cannot be taken for one that made promises.
+struct vm_id {
+  std::string Name;
+  std::uint64_t Incarnation = 0;
+
+  auto operator<=>(const vm_id &) const = default;
+};
+
+/// What is known of an entry VM of the fleet.
+struct entry_vm {
+  vm_id Id;
+  std::string Ip;
+  std::string Zone;
+  std::string Region;
+  bool Ready = false;   ///< Has a configuration and serves.
+  bool Leaving = false; ///< Stops; takes no new work and owns nothing.
+};
+
+/// The weight of \p Vm for \p Subject under rendezvous hashing; the highest
+/// weight owns the subject. Depends on names only, not on incarnations.
+std::uint64_t rendezvousWeight(std::string_view Vm, std::string_view Subject);
+
+/// A 64-bit hash that is equal on every entry VM.
+std::uint64_t stableHash(std::string_view Text);
+
+/// The entry VMs that this node believes to be alive: those it has heard
+/// within the heartbeat timeout.
+///
+///   member_view Members = member_view::create(Self, HeartbeatTimeout);
+///   Members.heard(Vm, Now);
+///   std::vector<entry_vm> Live = Members.live(Now);
+class member_view {
+public:
+  static member_view create(const entry_vm &Self, duration HeartbeatTimeout) {
+    return member_view(Self, HeartbeatTimeout);
+  }
+
+  /// Records a sign of life.
+  void heard(const entry_vm &Vm, time_point Now);
+
+  /// Changes this node's own state.
+  void setSelf(bool Ready, bool Leaving);
+
+  /// Returns the members heard lately and this node, in the order of names.
+  std::vector<entry_vm> live(time_point Now) const;
+
+  /// Returns a member heard lately, or nothing.
+  std::optional<entry_vm> find(const vm_id &Id, time_point Now) const;
+
+  /// Returns the member named \p Name in its latest life, heard lately or not.
+  std::optional<entry_vm> findByName(std::string_view Name) const;
+
+  /// Returns when some other member was last heard; the epoch when none was.
+  time_point lastHeardAny() const { return LastAny; }
+
+  const entry_vm &self() const { return Self; }
+
+  /// Returns the member that should own \p Subject: the highest rendezvous
+  /// weight among the ready members of \p Zone, else of \p Region.
+  std::optional<entry_vm> preferredOwner(std::string_view Subject,
+                                         std::string_view Zone,
+                                         std::string_view Region,
+                                         time_point Now) const;
+
+private:
+  struct member {
+    entry_vm Vm;
+    time_point LastHeard;
+  };
+
+  member_view(const entry_vm &Self, duration HeartbeatTimeout)
+      : Self(Self), HeartbeatTimeout(HeartbeatTimeout) {}
+
+  entry_vm Self;
+  duration HeartbeatTimeout;
+  std::map<std::string, member, std::less<>> Members;
+  time_point LastAny{};
+};
+
+/// Knows which lives of entry VMs have certainly ended, and for how long.
+/// Proofs are: the platform dropped a VM from its list after having listed it,
+/// a newer life of the same VM was heard, or the process said that it retires.
+///
+///   departures Ended = departures::create(LeaseTime);
+///   Ended.onVmList(Names, Now);
+///   if (Ended.certain(Voter, Now)) ...
+class departures {
+public:
+  /// \p Wait is how long after its proof an end counts: by then every promise
+  /// of that life has lapsed.
+  static departures create(duration Wait) { return departures(Wait); }
+
+  /// Records one answer of the platform's list of VMs.
+  void onVmList(std::span<const std::string> Names, time_point Now);
+
+  /// Records that \p Life was heard; earlier lives of its VM have ended.
+  void onHeard(const vm_id &Life, time_point Now);
+
+  /// Records that \p Life said it makes no more promises.
+  void onRetired(const vm_id &Life, time_point Now);
+
+  /// Returns true if \p Life ended at least the waiting time ago.
+  bool certain(const vm_id &Life, time_point Now) const;
+
+private:
+  explicit departures(duration Wait) : Wait(Wait) {}
+
+  duration Wait;
+  std::set<std::string, std::less<>> Listed;
+  std::map<std::string, time_point, std::less<>> Unlisted;
+  std::map<std::string, std::pair<std::uint64_t, time_point>, std::less<>>
+      Latest;
+  std::map<vm_id, time_point> Retired;
+};
+
+} // namespace agatedale
--- /dev/null
+++ b/include/agatedale/fair_queue.h
@@ -0,0 +1,112 @@
+/// \file
+/// The queue of a server group: fair between accounts, by deadline in each.
+#pragma once
+
+#include "agatedale/clock.h"
+#include "agatedale/verdict.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace agatedale {
+
+/// Names a request inside one server group of one node.
+using request_id = std::uint64_t;
+
+/// What a server group must know of a request in order to decide.
+struct work_item {
+  request_id Id = 0;
+  std::string Account;
+  int Weight = 1;
+  time_point Deadline;
+  bool Idempotent = false;
+  int AvoidServer = -1;    ///< Index of a server that just failed it, or -1.
+  bool MayHaveRun = false; ///< An earlier attempt may have run it.
+  bool Repeatable = true;  ///< False once its body cannot be sent again.
+};
+
+/// A bounded queue that serves client accounts in proportion to their weights
+/// (start-time fair queueing) and, within an account, the earliest deadline
+/// first. When it is full, the longest account makes room for a shorter one.
+///
+///   fair_queue Queue = fair_queue::create(64);
+///   auto Pushed = Queue.push(Item);
+///   if (std::optional<work_item> Next = Queue.pop()) send(*Next);
+class fair_queue {
+public:
+  /// The outcome of a push.
+  struct push_result {
+    refusal_reason Refused = refusal_reason::None; ///< Of the pushed item.
+    std::optional<work_item> PushedOut; ///< Another item that made room.
+  };
+
+  /// \p Capacity is the most items held.
+  static fair_queue create(std::size_t Capacity) {
+    return fair_queue(Capacity);
+  }
+
+  push_result push(const work_item &Item);
+
+  /// Removes and returns the item to serve next.
+  std::optional<work_item> pop();
+
+  /// Puts back an item that pop() gave, without charging its account again.
+  void putBack(const work_item &Item);
+
+  /// Removes an item; false when it is not queued.
+  bool remove(request_id Id);
+
+  /// Removes and returns the items whose deadline has passed.
+  std::vector<work_item> expire(time_point Now);
+
+  /// Removes and returns everything.
+  std::vector<work_item> drain();
+
+  std::size_t size() const { return Places.size(); }
+  bool empty() const { return Places.empty(); }
+  std::size_t capacity() const { return Capacity; }
+  void setCapacity(std::size_t NewCapacity) { Capacity = NewCapacity; }
+
+  /// Returns how many items of \p Account would be served before \p Deadline.
+  std::size_t ahead(const std::string &Account, time_point Deadline) const;
+
+  /// Returns the part of the service rate that an account of \p Weight gets
+  /// while the accounts that are queued now stay so.
+  double shareOf(const std::string &Account, int Weight) const;
+
+private:
+  using queue_order = std::pair<time_point, request_id>;
+
+  struct account_queue {
+    std::map<queue_order, work_item> Items;
+    double VirtualTime = 0;
+    int Weight = 1;
+  };
+
+  struct place {
+    std::string Account;
+    queue_order Order;
+  };
+
+  explicit fair_queue(std::size_t Capacity) : Capacity(Capacity) {}
+
+  void insert(const work_item &Item);
+  std::map<std::string, account_queue>::iterator longest();
+  std::map<std::string, account_queue>::iterator nextAccount();
+  work_item takeFrom(std::map<std::string, account_queue>::iterator Queue,
+                     std::map<queue_order, work_item>::iterator Where);
+
+  std::size_t Capacity;
+  double SystemTime = 0;
+  std::map<std::string, account_queue> Accounts; ///< Those with items.
+  std::unordered_map<std::string, double> FinishTimes;
+  std::unordered_map<request_id, place> Places;
+  std::set<std::pair<time_point, request_id>> ByDeadline;
+};
+
+} // namespace agatedale
--- /dev/null
+++ b/include/agatedale/metrics.h
@@ -0,0 +1,100 @@
+/// \file
+/// Counters and histograms of a process.
+#pragma once
+
+#include "agatedale/clock.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace agatedale {
+
+/// A histogram of durations with buckets that grow by a factor of two to the
+/// power of a quarter, from 10 microseconds to about 30 minutes.
+///
+///   latency_histogram Histogram;
+///   Histogram.record(Elapsed);
+///   duration P99 = Histogram.quantile(0.99);
+class latency_histogram {
+public:
+  /// Adds one duration.
+  void record(duration Length);
+
+  /// Adds everything that \p Other recorded.
+  void merge(const latency_histogram &Other);
+
+  /// Returns the upper end of the bucket that holds \p Share of the records.
+  duration quantile(double Share) const;
+
+  std::uint64_t count() const { return Count; }
+  duration sum() const { return Sum; }
+
+  /// Returns how many records are not longer than \p Length, to the bucket.
+  std::uint64_t countUpTo(duration Length) const;
+
+private:
+  static constexpr std::size_t BucketCount = 112;
+
+  static std::size_t bucketOf(duration Length);
+  static duration upperEnd(std::size_t Bucket);
+
+  std::array<std::uint64_t, BucketCount> Buckets{};
+  std::uint64_t Count = 0;
+  duration Sum{};
+};
+
+/// The labels of a metric in the text format, such as account="web".
+using metric_labels = std::string;
+
+/// Returns labels for an account and a class, with quotes escaped.
+metric_labels accountLabels(std::string_view Account, std::string_view Class);
+
+/// Returns one label, with quotes escaped.
+metric_labels label(std::string_view Name, std::string_view Value);
+
+/// All counters and histograms of a process, in shards by name, each under its
+/// own lock. The number of label sets of each name is bounded.
+///
+///   metrics Metrics;
+///   Metrics.count("agatedale_refusals_total", label("reason", "queue-full"));
+///   std::string Text = Metrics.exportText();
+class metrics {
+public:
+  void count(std::string_view Name, const metric_labels &Labels = {},
+             std::uint64_t By = 1);
+  void set(std::string_view Name, const metric_labels &Labels, double Value);
+  void record(std::string_view Name, const metric_labels &Labels,
+              duration Length);
+
+  /// Returns the value of a counter; zero when it was never counted.
+  std::uint64_t counter(std::string_view Name,
+                        const metric_labels &Labels = {}) const;
+
+  /// Returns everything in the text format that monitoring systems scrape.
+  std::string exportText() const;
+
+private:
+  static constexpr std::size_t ShardCount = 16;
+  static constexpr std::size_t MaxLabelSets = 1024;
+
+  using series = std::pair<std::string, metric_labels>;
+
+  struct shard {
+    mutable std::mutex Lock;
+    std::map<series, std::uint64_t> Counters;
+    std::map<series, double> Gauges;
+    std::map<series, latency_histogram> Histograms;
+  };
+
+  shard &shardOf(std::string_view Name, const metric_labels &Labels);
+  const shard &shardOf(std::string_view Name,
+                       const metric_labels &Labels) const;
+
+  std::array<shard, ShardCount> Shards;
+};
+
+} // namespace agatedale
--- /dev/null
+++ b/src/config/configuration_reader.cpp
@@ -0,0 +1,370 @@
+/// \file
+/// Reads the operators' TOML into a checked configuration.
+#include "agatedale/configuration.h"
+#include "toml_reader.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <functional>
+#include <sstream>
+
+namespace agatedale {
+
+/// Builds one configuration out of one merged TOML table, object by object, and
+/// stops at the first thing that is wrong.
+class configuration_reader {
+public:
+  explicit configuration_reader(const toml::table &Root) : Root(Root) {}
+
+  result<configuration> read();
+
+private:
+  using object_reader = std::function<void(const std::string &, toml_reader &)>;
+
+  bool readObjects(std::string_view Kind, const object_reader &ReadOne);
+  bool readWorld();
+  bool readServices();
+  bool readServers();
+  bool readRoutes();
+  bool readAccounts();
+  bool readBudgets();
+  bool readZoneStates();
+  bool checkTopLevel();
+  void checkHomes(toml_reader &Reader, const std::vector<std::string> &Homes);
+  void buildGroups();
+  bool keep(const error *Error);
+
+  const toml::table &Root;
+  configuration Config;
+  error Failure;
+};
+
+namespace {
+
+bool contains(const std::vector<std::string> &List, std::string_view Word) {
+  return std::find(List.begin(), List.end(), Word) != List.end();
+}
+
+/// Moves every key of \p From into \p Into; tables are merged key by key.
+void mergeTables(toml::table &Into, toml::table &&From) {
+  for (auto &&[Key, Node] : From) {
+    toml::node *Existing = Into.get(Key.str());
+    if (Existing && Existing->is_table() && Node.is_table())
+      mergeTables(*Existing->as_table(), std::move(*Node.as_table()));
+    else
+      Node.visit([&Into, &Name = Key](auto &&Value) {
+        Into.insert_or_assign(Name.str(), std::move(Value));
+      });
+  }
+}
+
+std::string printToml(const toml::table &Table) {
+  std::ostringstream Text;
+  Text << toml::toml_formatter{Table} << "\n";
+  return Text.str();
+}
+
+bool looksLikeAddress(std::string_view Address) {
+  const std::size_t Colon = Address.rfind(':');
+  if (Colon == std::string_view::npos || Colon == 0)
+    return false;
+  const std::string_view Port = Address.substr(Colon + 1);
+  return !Port.empty() && Port.size() <= 5 &&
+         std::all_of(Port.begin(), Port.end(),
+                     [](char C) { return C >= '0' && C <= '9'; });
+}
+
+constexpr std::int64_t MaxTimeoutMs = 600'000;
+constexpr std::int64_t MaxBodyLimitBytes = std::int64_t{1} << 30;
+
+} // namespace
+
+bool configuration_reader::keep(const error *Error) {
+  if (Error)
+    Failure = *Error;
+  return !Error;
+}
+
+bool configuration_reader::readObjects(std::string_view Kind,
+                                       const object_reader &ReadOne) {
+  const toml::node *Node = Root.get(Kind);
+  if (!Node)
+    return true;
+  const toml::table *Objects = Node->as_table();
+  if (!Objects) {
+    Failure = errorAt(*Node, Kind, "expected tables with names");
+    return false;
+  }
+  for (const auto &[Name, Object] : *Objects) {
+    const std::string Path = fmt::format("{}.{}", Kind, Name.str());
+    const toml::table *Table = Object.as_table();
+    if (!Table) {
+      Failure = errorAt(Object, Path, "expected a table");
+      return false;
+    }
+    toml_reader Reader(*Table, Path);
+    ReadOne(std::string(Name.str()), Reader);
+    if (!keep(Reader.finish()))
+      return false;
+  }
+  return true;
+}
+
+void configuration_reader::checkHomes(toml_reader &Reader,
+                                      const std::vector<std::string> &Homes) {
+  for (const std::string &Home : Homes) {
+    if (!contains(Config.Regions, Home))
+      Reader.refuse("homes",
+                    fmt::format("'{}' is no region; known regions: {}", Home,
+                                fmt::join(Config.Regions, ", ")));
+  }
+}
+
+bool configuration_reader::readWorld() {
+  const auto ReadRegion = [this](const std::string &Name, toml_reader &) {
+    Config.Regions.push_back(Name);
+  };
+  const auto ReadZone = [this](const std::string &Name, toml_reader &Reader) {
+    availability_zone Zone{Name, Reader.requiredText("region")};
+    if (!contains(Config.Regions, Zone.Region))
+      Reader.refuse("region",
+                    fmt::format("'{}' is no region; known: {}", Zone.Region,
+                                fmt::join(Config.Regions, ", ")));
+    Config.Zones.emplace(Name, Zone);
+  };
+  const auto ReadLink = [this](const std::string &Name, toml_reader &Reader) {
+    region_link Link{Name, Reader.requiredText("from"),
+                     Reader.requiredText("to"),
+                     Reader.number("megabit_per_s", 30, 0.001, 1e6)};
+    if (!contains(Config.Regions, Link.From))
+      Reader.refuse("from", "is no region");
+    if (!contains(Config.Regions, Link.To) || Link.To == Link.From)
+      Reader.refuse("to", "is no other region");
+    Config.Links.push_back(Link);
+  };
+  return readObjects("regions", ReadRegion) && readObjects("zones", ReadZone) &&
+         readObjects("links", ReadLink);
+}
+
+bool configuration_reader::readServices() {
+  return readObjects(
+      "services", [this](const std::string &Name, toml_reader &Reader) {
+        service Service;
+        Service.Name = Name;
+        Service.Slots = static_cast<int>(Reader.integer("slots", 2, 1, 1024));
+        Service.MaxConnections =
+            static_cast<int>(Reader.integer("max_connections", 220, 1, 100000));
+        Service.WarmUpAnswers =
+            static_cast<int>(Reader.integer("warm_up_answers", 5, 1, 10000));
+        Service.LoadPath = Reader.text("load_path", "");
+        Service.LoadReportLag = std::chrono::milliseconds(
+            Reader.integer("load_report_lag_ms", 500, 0, 60'000));
+        Service.QueuePerSlot =
+            static_cast<int>(Reader.integer("queue_per_slot", 32, 1, 10000));
+        Config.Services.emplace(Name, Service);
+      });
+}
+
+bool configuration_reader::readServers() {
+  return readObjects("servers", [this](const std::string &Name,
+                                       toml_reader &Reader) {
+    backend_server Server;
+    Server.Name = Name;
+    Server.Service = Reader.requiredText("service");
+    Server.Zone = Reader.requiredText("zone");
+    Server.Address = Reader.requiredText("address");
+    Server.Leaving =
+        Reader.choice("state", "active", {"active", "leaving"}) == "leaving";
+    if (!Config.Services.contains(Server.Service))
+      Reader.refuse("service",
+                    fmt::format("'{}' is no service", Server.Service));
+    if (!Config.Zones.contains(Server.Zone))
+      Reader.refuse("zone", fmt::format("'{}' is no zone", Server.Zone));
+    if (!looksLikeAddress(Server.Address))
+      Reader.refuse("address", "expected \"ip:port\"");
+    Config.Servers.push_back(Server);
+  });
+}
+
+bool configuration_reader::readRoutes() {
+  return readObjects(
+      "routes", [this](const std::string &Name, toml_reader &Reader) {
+        route Route;
+        Route.Name = Name;
+        Route.PathPrefix = Reader.requiredText("path_prefix");
+        if (!Route.PathPrefix.starts_with('/'))
+          Reader.refuse("path_prefix", "must begin with '/'");
+        Route.Methods = Reader.texts("methods");
+        Route.Service = Reader.requiredText("service");
+        if (!Config.Services.contains(Route.Service))
+          Reader.refuse("service",
+                        fmt::format("'{}' is no service", Route.Service));
+        Route.Class = Reader.text("class", Name);
+        Route.Timeout = std::chrono::milliseconds(
+            Reader.integer("timeout_ms", 2000, 1, MaxTimeoutMs));
+        Route.Idempotent = Reader.boolean("idempotent", false);
+        const std::string Key =
+            Reader.choice("key", "optional", {"none", "optional", "required"});
+        Route.Key = Key == "none"       ? key_use::None
+                    : Key == "required" ? key_use::Required
+                                        : key_use::Optional;
+        Route.Homes = Reader.texts("homes");
+        checkHomes(Reader, Route.Homes);
+        Route.MaxBodyBytes =
+            Reader.integer("max_body_bytes", 1 << 20, 0, MaxBodyLimitBytes);
+        Config.Routes.push_back(Route);
+      });
+}
+
+bool configuration_reader::readAccounts() {
+  return readObjects(
+      "accounts", [this](const std::string &Name, toml_reader &Reader) {
+        client_account Account;
+        Account.Name = Name;
+        Account.Weight = static_cast<int>(Reader.integer("weight", 1, 1, 1000));
+        Account.Homes = Reader.texts("homes");
+        checkHomes(Reader, Account.Homes);
+        Config.Accounts.emplace(Name, Account);
+      });
+}
+
+bool configuration_reader::readBudgets() {
+  const toml::node *Node = Root.get("budgets");
+  if (!Node)
+    return true;
+  const toml::table *Table = Node->as_table();
+  if (!Table) {
+    Failure = errorAt(*Node, "budgets", "expected a table");
+    return false;
+  }
+  toml_reader Reader(*Table, "budgets");
+  budgets &Budgets = Config.Budgets;
+  Budgets.ProbePercent =
+      Reader.number("probe_percent", Budgets.ProbePercent, 0, 100);
+  Budgets.ControlBytesPerSecond =
+      Reader.integer("control_bytes_per_s", Budgets.ControlBytesPerSecond, 1,
+                     std::int64_t{1} << 30);
+  Budgets.RetryPercent =
+      Reader.number("retry_percent", Budgets.RetryPercent, 0, 100);
+  return keep(Reader.finish());
+}
+
+bool configuration_reader::readZoneStates() {
+  return readObjects(
+      "zone_states", [this](const std::string &Name, toml_reader &Reader) {
+        const bool Out = Reader.boolean("out", false);
+        const auto Zone = Config.Zones.find(Name);
+        if (Zone == Config.Zones.end())
+          Reader.refuse("out", fmt::format("'{}' is no zone", Name));
+        else
+          Zone->second.Out = Out;
+      });
+}
+
+bool configuration_reader::checkTopLevel() {
+  const std::set<std::string, std::less<>> Known{
+      "regions", "zones",    "links",   "services",   "servers",
+      "routes",  "accounts", "budgets", "zone_states"};
+  for (const auto &[Key, Node] : Root) {
+    if (Known.contains(Key.str()))
+      continue;
+    const std::string_view Nearest = nearestWord(Key.str(), Known);
+    Failure = errorAt(
+        Node, Key.str(),
+        Nearest.empty()
+            ? fmt::format("is unknown; known keys: {}", fmt::join(Known, ", "))
+            : fmt::format("is unknown; did you mean '{}'?", Nearest));
+    return false;
+  }
+  return true;
+}
+
+void configuration_reader::buildGroups() {
+  std::map<std::pair<std::string, std::string>, std::vector<backend_server>>
+      Places;
+  for (const backend_server &Server : Config.Servers)
+    Places[{Server.Service, Server.Zone}].push_back(Server);
+  for (const auto &[Place, Servers] : Places) {
+    const std::size_t Parts =
+        (Servers.size() + MaxGroupServers - 1) / MaxGroupServers;
+    for (std::size_t Part = 0; Part < Parts; ++Part) {
+      server_group_spec Spec{
+          {Place.first, Place.second, static_cast<int>(Part)}, {}};
+      for (std::size_t I = Part; I < Servers.size(); I += Parts)
+        Spec.Servers.push_back(Servers[I]);
+      Config.Groups.push_back(std::move(Spec));
+    }
+  }
+}
+
+result<configuration> configuration_reader::read() {
+  const bool Good = checkTopLevel() && readWorld() && readServices() &&
+                    readServers() && readRoutes() && readAccounts() &&
+                    readBudgets() && readZoneStates();
+  if (!Good)
+    return Failure;
+  buildGroups();
+  Config.Document = printToml(Root);
+  return std::move(Config);
+}
+
+result<configuration>
+configuration::fromFolder(const std::filesystem::path &Folder) {
+  std::error_code Status;
+  std::vector<std::filesystem::path> Files;
+  for (const auto &Entry :
+       std::filesystem::directory_iterator(Folder, Status)) {
+    if (Entry.path().extension() == ".toml")
+      Files.push_back(Entry.path());
+  }
+  if (Status || Files.empty())
+    return error{
+        error_kind::NotFound,
+        fmt::format("{}: is no folder with .toml files", Folder.string())};
+  std::sort(Files.begin(), Files.end());
+  toml::table Merged;
+  for (const std::filesystem::path &File : Files) {
+    result<toml::table> Parsed = parseTomlFile(File);
+    if (const error *Error = errorOf(Parsed))
+      return *Error;
+    mergeTables(Merged, takeValue(std::move(Parsed)));
+  }
+  return configuration_reader(Merged).read();
+}
+
+result<configuration> configuration::fromDocument(std::string_view Text,
+                                                  std::string_view Source) {
+  const result<toml::table> Parsed = parseToml(Text, Source);
+  if (const error *Error = errorOf(Parsed))
+    return *Error;
+  return configuration_reader(valueOf(Parsed)).read();
+}
+
+result<configuration> configuration::withZoneState(std::string_view Zone,
+                                                   bool Out) const {
+  if (!Zones.contains(std::string(Zone)))
+    return error{error_kind::NotFound,
+                 fmt::format("'{}' is no availability zone", Zone)};
+  toml::table Root = takeValue(parseToml(Document, "document"));
+  if (!Root.get("zone_states"))
+    Root.insert("zone_states", toml::table{});
+  toml::table &States = *Root.get("zone_states")->as_table();
+  States.insert_or_assign(Zone, toml::table{{"out", Out}});
+  return configuration_reader(Root).read();
+}
+
+result<configuration>
+configuration::withZoneStatesOf(const configuration &Earlier) const {
+  result<configuration> Current = *this;
+  for (const auto &[Name, Zone] : Earlier.zones()) {
+    if (!Zone.Out || !Zones.contains(Name))
+      continue;
+    Current = valueOf(Current).withZoneState(Name, true);
+    if (errorOf(Current))
+      return Current;
+  }
+  return Current;
+}
+
+} // namespace agatedale
--- /dev/null
+++ b/src/core/fair_queue.cpp
@@ -0,0 +1,144 @@
+/// \file
+/// Start-time fair queueing between client accounts.
+#include "agatedale/fair_queue.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace agatedale {
+
+namespace {
+
+/// Accounts whose finish times are remembered before all are dropped.
+constexpr std::size_t MaxRememberedAccounts = 4096;
+
+} // namespace
+
+void fair_queue::insert(const work_item &Item) {
+  auto [Queue, IsNew] = Accounts.try_emplace(Item.Account);
+  if (IsNew) {
+    const auto Remembered = FinishTimes.find(Item.Account);
+    const double Finish =
+        Remembered == FinishTimes.end() ? 0 : Remembered->second;
+    Queue->second.VirtualTime = std::max(SystemTime, Finish);
+    Queue->second.Weight = std::max(Item.Weight, 1);
+  }
+  const queue_order Order{Item.Deadline, Item.Id};
+  Queue->second.Items.emplace(Order, Item);
+  Places.emplace(Item.Id, place{Item.Account, Order});
+  ByDeadline.insert(Order);
+}
+
+std::map<std::string, fair_queue::account_queue>::iterator
+fair_queue::longest() {
+  return std::max_element(
+      Accounts.begin(), Accounts.end(),
+      [](const auto &Left, const auto &Right) {
+        return Left.second.Items.size() * Right.second.Weight <
+               Right.second.Items.size() * Left.second.Weight;
+      });
+}
+
+std::map<std::string, fair_queue::account_queue>::iterator
+fair_queue::nextAccount() {
+  return std::min_element(Accounts.begin(), Accounts.end(),
+                          [](const auto &Left, const auto &Right) {
+                            return Left.second.VirtualTime <
+                                   Right.second.VirtualTime;
+                          });
+}
+
+fair_queue::push_result fair_queue::push(const work_item &Item) {
+  push_result Result;
+  if (size() >= Capacity) {
+    const auto Longest = longest();
+    const bool OwnIsLongest =
+        Longest == Accounts.end() || Longest->first == Item.Account;
+    if (OwnIsLongest) {
+      Result.Refused = Capacity == 0 || Accounts.size() <= 1
+                           ? refusal_reason::QueueFull
+                           : refusal_reason::AccountQueueFull;
+      return Result;
+    }
+    Result.PushedOut =
+        takeFrom(Longest, std::prev(Longest->second.Items.end()));
+  }
+  insert(Item);
+  return Result;
+}
+
+work_item
+fair_queue::takeFrom(std::map<std::string, account_queue>::iterator Queue,
+                     std::map<queue_order, work_item>::iterator Where) {
+  work_item Item = std::move(Where->second);
+  ByDeadline.erase(Where->first);
+  Places.erase(Item.Id);
+  Queue->second.Items.erase(Where);
+  if (Queue->second.Items.empty()) {
+    if (FinishTimes.size() >= MaxRememberedAccounts)
+      FinishTimes.clear();
+    FinishTimes[Queue->first] = Queue->second.VirtualTime;
+    Accounts.erase(Queue);
+  }
+  return Item;
+}
+
+std::optional<work_item> fair_queue::pop() {
+  const auto Queue = nextAccount();
+  if (Queue == Accounts.end())
+    return std::nullopt;
+  SystemTime = Queue->second.VirtualTime;
+  Queue->second.VirtualTime += 1.0 / Queue->second.Weight;
+  return takeFrom(Queue, Queue->second.Items.begin());
+}
+
+void fair_queue::putBack(const work_item &Item) {
+  insert(Item);
+  account_queue &Queue = Accounts.at(Item.Account);
+  Queue.VirtualTime =
+      std::max(SystemTime, Queue.VirtualTime - 1.0 / Queue.Weight);
+}
+
+bool fair_queue::remove(request_id Id) {
+  const auto Place = Places.find(Id);
+  if (Place == Places.end())
+    return false;
+  const auto Queue = Accounts.find(Place->second.Account);
+  takeFrom(Queue, Queue->second.Items.find(Place->second.Order));
+  return true;
+}
+
+std::vector<work_item> fair_queue::expire(time_point Now) {
+  std::vector<work_item> Expired;
+  while (!ByDeadline.empty() && ByDeadline.begin()->first <= Now) {
+    const place Place = Places.at(ByDeadline.begin()->second);
+    const auto Queue = Accounts.find(Place.Account);
+    Expired.push_back(takeFrom(Queue, Queue->second.Items.find(Place.Order)));
+  }
+  return Expired;
+}
+
+std::vector<work_item> fair_queue::drain() { return expire(time_point::max()); }
+
+std::size_t fair_queue::ahead(const std::string &Account,
+                              time_point Deadline) const {
+  const auto Queue = Accounts.find(Account);
+  if (Queue == Accounts.end())
+    return 0;
+  const auto &Items = Queue->second.Items;
+  if (Items.empty() || Items.rbegin()->first.first <= Deadline)
+    return Items.size();
+  return static_cast<std::size_t>(
+      std::distance(Items.begin(), Items.upper_bound({Deadline, 0})));
+}
+
+double fair_queue::shareOf(const std::string &Account, int Weight) const {
+  double Total = Weight;
+  for (const auto &[Name, Queue] : Accounts) {
+    if (Name != Account)
+      Total += Queue.Weight;
+  }
+  return Weight / Total;
+}
+
+} // namespace agatedale
--- /dev/null
+++ b/src/core/key_table.cpp
@@ -0,0 +1,190 @@
+/// \file
+/// Claims and settlements of idempotency keys.
+#include "agatedale/key_table.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace agatedale {
+
+namespace {
+
+constexpr std::size_t UuidLength = 36;
+constexpr std::size_t VersionPosition = 14;
+constexpr std::size_t TimestampDigits = 12;
+
+bool isDashPosition(std::size_t I) {
+  return I == 8 || I == 13 || I == 18 || I == 23;
+}
+
+int hexDigit(char C) {
+  if (C >= '0' && C <= '9')
+    return C - '0';
+  if (C >= 'a' && C <= 'f')
+    return C - 'a' + 10;
+  if (C >= 'A' && C <= 'F')
+    return C - 'A' + 10;
+  return -1;
+}
+
+bool hasUuidShape(std::string_view Key) {
+  if (Key.size() != UuidLength)
+    return false;
+  for (std::size_t I = 0; I < Key.size(); ++I) {
+    const bool Good = isDashPosition(I) ? Key[I] == '-' : hexDigit(Key[I]) >= 0;
+    if (!Good)
+      return false;
+  }
+  return true;
+}
+
+} // namespace
+
+result<wall_ms> timestampOfKey(std::string_view Key) {
+  if (!hasUuidShape(Key))
+    return error{error_kind::InvalidInput,
+                 "an idempotency key must be a UUID of 36 characters"};
+  if (Key[VersionPosition] != '7')
+    return error{error_kind::InvalidInput,
+                 "an idempotency key must be a UUID of version 7"};
+  wall_ms Timestamp = 0;
+  std::size_t Digits = 0;
+  for (const char C : Key) {
+    if (C == '-')
+      continue;
+    if (Digits++ == TimestampDigits)
+      break;
+    Timestamp = Timestamp * 16 + hexDigit(C);
+  }
+  return Timestamp;
+}
+
+key_decision key_table::decideKnown(const key_entry &Entry,
+                                    const key_claim &Claim, wall_ms Now) {
+  if (Entry.Fingerprint != Claim.Fingerprint)
+    return refuse_key{refusal_reason::KeyReused, verdict::NotRun};
+  switch (Entry.State) {
+  case key_state::Running:
+    if (Entry.Claim == Claim.Claim)
+      return run_key{};
+    if (Now < Entry.RunsUntil)
+      return await_key{};
+    break;
+  case key_state::Answered:
+    return replay_answer{Entry.Answer};
+  case key_state::AnsweredLarge:
+  case key_state::Unknown:
+    break;
+  }
+  return refuse_key{refusal_reason::KeyOutcomeUnknown, verdict::MayHaveRun};
+}
+
+key_decision key_table::decideUnknown(const key_claim &Claim, wall_ms Stamp,
+                                      wall_ms Now) {
+  if (Stamp > Now + Settings.Skew.count())
+    return refuse_key{refusal_reason::KeyMalformed, verdict::NotRun};
+  if (Stamp < Now - Settings.Window.count())
+    return refuse_key{refusal_reason::KeyOutOfWindow, verdict::MayHaveRun};
+  if (Stamp <= Floor)
+    return refuse_key{refusal_reason::KeyOutcomeUnknown, verdict::MayHaveRun};
+  if (Entries.size() >= Settings.MaxEntries) {
+    const auto Oldest = Entries.find(ByAge.begin()->second);
+    raiseFloor(Oldest->second.Timestamp);
+    erase(Oldest);
+    if (Stamp <= Floor)
+      return refuse_key{refusal_reason::KeyOutOfWindow, verdict::MayHaveRun};
+  }
+  const key_name Name{Claim.Account, Claim.Key};
+  ByAge.insert({Stamp, Name});
+  Entries.emplace(Name,
+                  key_entry{Claim.Account, Claim.Key, Claim.Fingerprint, Stamp,
+                            Claim.Claim, Now + Claim.Timeout.count(),
+                            key_state::Running, nullptr});
+  return run_key{};
+}
+
+key_decision key_table::claim(const key_claim &Claim, wall_ms Now) {
+  const result<wall_ms> Timestamp = timestampOfKey(Claim.Key);
+  if (errorOf(Timestamp))
+    return refuse_key{refusal_reason::KeyMalformed, verdict::NotRun};
+  forgetOld(Now);
+  const auto Known = Entries.find({Claim.Account, Claim.Key});
+  if (Known != Entries.end())
+    return decideKnown(Known->second, Claim, Now);
+  return decideUnknown(Claim, valueOf(Timestamp), Now);
+}
+
+std::optional<key_entry> key_table::settle(const key_settlement &Settlement) {
+  const auto Known = Entries.find({Settlement.Account, Settlement.Key});
+  if (Known == Entries.end() || Known->second.Claim != Settlement.Claim)
+    return std::nullopt;
+  key_entry &Entry = Known->second;
+  switch (Settlement.Verdict) {
+  case verdict::NotRun:
+    erase(Known);
+    return std::nullopt;
+  case verdict::Answered: {
+    const bool Keep = Settlement.Answer &&
+                      Settlement.Answer->Body.size() <= Settings.MaxAnswerBytes;
+    Entry.State = Keep ? key_state::Answered : key_state::AnsweredLarge;
+    Entry.Answer = Keep ? Settlement.Answer : nullptr;
+    break;
+  }
+  case verdict::MayHaveRun:
+    Entry.State = key_state::Unknown;
+    break;
+  }
+  return Entry;
+}
+
+void key_table::takeOver(wall_ms Now) {
+  raiseFloor(Now + Settings.Skew.count());
+}
+
+void key_table::raiseFloor(wall_ms NewFloor) {
+  Floor = std::max(Floor, NewFloor);
+}
+
+void key_table::adopt(std::span<const key_entry> Copies, bool OwnerLost) {
+  for (const key_entry &Copy : Copies) {
+    key_entry Entry = Copy;
+    if (OwnerLost && Entry.State == key_state::Running)
+      Entry.State = key_state::Unknown;
+    const key_name Name{Entry.Account, Entry.Key};
+    const auto Known = Entries.find(Name);
+    if (Known != Entries.end())
+      erase(Known);
+    ByAge.insert({Entry.Timestamp, Name});
+    Entries.emplace(Name, std::move(Entry));
+  }
+}
+
+std::optional<key_entry> key_table::find(const std::string &Account,
+                                         const std::string &Key) const {
+  const auto Known = Entries.find({Account, Key});
+  if (Known == Entries.end())
+    return std::nullopt;
+  return Known->second;
+}
+
+std::vector<key_entry> key_table::entries() const {
+  std::vector<key_entry> All;
+  All.reserve(Entries.size());
+  for (const auto &[Name, Entry] : Entries)
+    All.push_back(Entry);
+  return All;
+}
+
+void key_table::forgetOld(wall_ms Now) {
+  const wall_ms Oldest = Now - Settings.Window.count();
+  while (!ByAge.empty() && ByAge.begin()->first < Oldest)
+    erase(Entries.find(ByAge.begin()->second));
+}
+
+void key_table::erase(std::map<key_name, key_entry>::iterator Where) {
+  ByAge.erase({Where->second.Timestamp, Where->first});
+  Entries.erase(Where);
+}
+
+} // namespace agatedale
--- /dev/null
+++ b/src/core/verdict.cpp
@@ -0,0 +1,92 @@
+/// \file
+/// Names and statuses of verdicts and refusals.
+#include "agatedale/verdict.h"
+
+#include <array>
+
+namespace agatedale {
+
+namespace {
+
+/// One row of the table of refusals.
+struct refusal_row {
+  refusal_reason Reason;
+  std::string_view Name;
+  int Status;
+};
+
+constexpr std::array RefusalRows{
+    refusal_row{refusal_reason::None, "none", 200},
+    refusal_row{refusal_reason::MalformedRequest, "malformed-request", 400},
+    refusal_row{refusal_reason::HeadersTooLarge, "headers-too-large", 431},
+    refusal_row{refusal_reason::BodyTooLarge, "body-too-large", 413},
+    refusal_row{refusal_reason::NoRoute, "no-route", 404},
+    refusal_row{refusal_reason::UnknownAccount, "unknown-account", 403},
+    refusal_row{refusal_reason::AccountNotAllowed, "account-not-allowed", 403},
+    refusal_row{refusal_reason::NotReady, "not-ready", 503},
+    refusal_row{refusal_reason::Stopping, "stopping", 503},
+    refusal_row{refusal_reason::CannotBeOnTime, "cannot-be-on-time", 503},
+    refusal_row{refusal_reason::QueueFull, "queue-full", 503},
+    refusal_row{refusal_reason::AccountQueueFull, "account-queue-full", 503},
+    refusal_row{refusal_reason::NoServer, "no-server", 503},
+    refusal_row{refusal_reason::NoOwner, "no-owner", 503},
+    refusal_row{refusal_reason::NotOwner, "not-owner", 503},
+    refusal_row{refusal_reason::OwnerLost, "owner-lost", 504},
+    refusal_row{refusal_reason::DeadlinePassed, "deadline-passed", 504},
+    refusal_row{refusal_reason::ServerShed, "server-shed", 503},
+    refusal_row{refusal_reason::ServerUnreachable, "server-unreachable", 503},
+    refusal_row{refusal_reason::ServerBroke, "server-broke", 504},
+    refusal_row{refusal_reason::AnswerTruncated, "answer-truncated", 504},
+    refusal_row{refusal_reason::KeyMissing, "key-missing", 400},
+    refusal_row{refusal_reason::KeyMalformed, "key-malformed", 400},
+    refusal_row{refusal_reason::KeyReused, "key-reused", 422},
+    refusal_row{refusal_reason::KeyRunning, "key-running", 504},
+    refusal_row{refusal_reason::KeyOutcomeUnknown, "key-outcome-unknown", 504},
+    refusal_row{refusal_reason::KeyOutOfWindow, "key-out-of-window", 504},
+    refusal_row{refusal_reason::KeyOwnerLost, "key-owner-lost", 503},
+    refusal_row{refusal_reason::HomeUnreachable, "home-unreachable", 503},
+    refusal_row{refusal_reason::LinkBudgetSpent, "link-budget-spent", 503},
+    refusal_row{refusal_reason::BodyIncomplete, "body-incomplete", 400},
+};
+
+const refusal_row &rowOf(refusal_reason Reason) {
+  for (const refusal_row &Row : RefusalRows) {
+    if (Row.Reason == Reason)
+      return Row;
+  }
+  return RefusalRows.front();
+}
+
+} // namespace
+
+std::string_view verdictName(verdict Verdict) {
+  switch (Verdict) {
+  case verdict::Answered:
+    return "answered";
+  case verdict::NotRun:
+    return "not-run";
+  case verdict::MayHaveRun:
+    break;
+  }
+  return "may-have-run";
+}
+
+verdict verdictFromName(std::string_view Name) {
+  for (verdict Verdict : {verdict::Answered, verdict::NotRun}) {
+    if (verdictName(Verdict) == Name)
+      return Verdict;
+  }
+  return verdict::MayHaveRun;
+}
+
+std::string_view reasonName(refusal_reason Reason) {
+  return rowOf(Reason).Name;
+}
+
+int statusOf(refusal_reason Reason) { return rowOf(Reason).Status; }
+
+bool maySendAgain(verdict Verdict, bool Idempotent) {
+  return Idempotent || Verdict == verdict::NotRun;
+}
+
+} // namespace agatedale
--- /dev/null
+++ b/src/node/backend_connection.h
@@ -0,0 +1,103 @@
+/// \file
+/// Connections to backend servers and one attempt over one of them.
+#pragma once
+
+#include "agatedale/server_group.h"
+#include "request.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace agatedale {
+
+/// One connection to one backend server. It carries one attempt at a time and
+/// is never reused after an attempt that was abandoned.
+class backend_connection {
+public:
+  /// Connects to "ip:port"; the error means that nothing was sent.
+  static result<std::shared_ptr<backend_connection>>
+  open(const std::string &Address, duration Timeout);
+
+  /// Breaks off a running attempt from another thread.
+  void cancel();
+  bool cancelled() const { return Cancelled.load(); }
+
+  /// Returns true if the server closed the connection or sent something
+  /// unasked.
+  bool isStale();
+
+  /// Bounds the next receives and sends.
+  void setTimeout(duration Timeout);
+
+  Poco::Net::HTTPClientSession &session() { return *Session; }
+  time_point lastUsed() const { return LastUsed; }
+  void touch(time_point Now) { LastUsed = Now; }
+
+private:
+  explicit backend_connection(const Poco::Net::StreamSocket &Socket);
+
+  std::unique_ptr<Poco::Net::HTTPClientSession> Session;
+  std::atomic<bool> Cancelled{false};
+  time_point LastUsed;
+};
+
+/// Idle connections to the backend servers of one group.
+///
+///   auto Opened = Pool.take("127.0.0.1:9001", Request.Idempotent, Timeout);
+///   ... one attempt ...
+///   Pool.giveBack("127.0.0.1:9001", valueOf(Opened));
+class connection_pool {
+public:
+  /// Returns an idle connection or opens one. A request that is not idempotent
+  /// gets one that was alive within ProvenAlive, or a new one.
+  result<std::shared_ptr<backend_connection>>
+  take(const std::string &Address, bool Idempotent, duration Timeout);
+
+  /// Keeps a connection whose attempt ended with a whole answer.
+  void giveBack(const std::string &Address,
+                std::shared_ptr<backend_connection> Connection);
+
+  /// Closes every idle connection to \p Address: one beside them went silent.
+  void condemn(const std::string &Address);
+
+private:
+  static constexpr duration ProvenAlive = std::chrono::seconds(1);
+  static constexpr duration IdleTime = std::chrono::seconds(30);
+  static constexpr std::size_t MaxIdle = 8;
+
+  std::shared_ptr<backend_connection> takeIdle(const std::string &Address,
+                                               bool Idempotent);
+
+  std::mutex Lock;
+  std::map<std::string, std::vector<std::shared_ptr<backend_connection>>> Idle;
+};
+
+/// What an attempt asks of its surroundings.
+struct attempt_hooks {
+  std::function<bool()> MaySend;    ///< The right to send, asked right before.
+  std::function<void()> BodyBegins; ///< The streamed body is about to be used.
+  std::function<bool()> MayStream;  ///< A large answer may go to the writer.
+};
+
+/// How one attempt ended.
+struct attempt_result {
+  attempt_outcome Outcome = attempt_outcome::Broke;
+  node_answer Answer; ///< When Answered, ErrorAnswer, Shed or Draining.
+};
+
+/// Sends \p Request over \p Connection and reads the answer. An answer of at
+/// most \p BufferBytes is held whole, a larger one goes to \p Writer.
+attempt_result runAttempt(backend_connection &Connection,
+                          const send_order &Order, const node_request &Request,
+                          const attempt_hooks &Hooks,
+                          const answer_writer *Writer,
+                          std::int64_t BufferBytes);
+
+} // namespace agatedale
