--- a/include/agatedale/server_group.h
+++ b/include/agatedale/server_group.h
@@ -197,6 +197,8 @@
     slot_limit Limit;
     int InFlight = 0;
     double SmoothedMicros = 0; ///< Of service times; zero if not known.
+    time_point AnsweredAt{};
+    attempt_id LastAttempt = 0;
     time_point AssumedUntil{};
     int Assumed = 0;
     std::vector<inherited_attempt> Inherited;
@@ -224,6 +226,7 @@
   slot_limit newLimit() const;
   int freeSlots(const server_state &State, time_point Now) const;
   int occupied(const server_state &State, time_point Now) const;
+  double expectedMicros(const server_state &State, time_point Now) const;
   int chooseServer(int Avoid, time_point Now, bool WarmOnly = false) const;
   int findServer(std::string_view Name) const;
   void addServer(const backend_server &Server, time_point Now);
@@ -236,7 +239,7 @@
               std::vector<group_action> &Actions);
   void recordOutcome(server_state &State, const attempt &Attempt,
                      attempt_outcome Outcome, time_point Now);
-  void recordAnswer(server_state &State, duration ServiceTime);
+  void recordAnswer(server_state &State, duration ServiceTime, time_point Now);
   void retryOrRefuse(const work_item &Item, int Server, attempt_outcome Outcome,
                      time_point Now, std::vector<group_action> &Actions);
   void abandonOthers(running_request &Running, attempt_id Winner,
--- a/include/agatedale/settings.h
+++ b/include/agatedale/settings.h
@@ -32,6 +32,9 @@
   std::chrono::milliseconds StorePoll{500};
   std::chrono::milliseconds StoreTimeout{1000};
   std::chrono::milliseconds ConfigurationLease{5000};
+  /// After a stop is asked for, how long callers are still served while the
+  /// platform's balancer learns that the VM is not ready.
+  std::chrono::milliseconds StopNotice{1500};
   std::chrono::milliseconds StopGrace{30'000};
   std::chrono::milliseconds CallerTimeout{10'000};
 };
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -23,10 +23,10 @@
 fleet_end() {
   local Name
   for Name in "${!FLEET_PIDS[@]}"; do
-    kill -CONT "${FLEET_PIDS[$Name]}" 2>/dev/null
-    kill -KILL "${FLEET_PIDS[$Name]}" 2>/dev/null
+    kill -CONT "${FLEET_PIDS[$Name]}" 2>/dev/null || true
+    kill -KILL "${FLEET_PIDS[$Name]}" 2>/dev/null || true
   done
-  wait 2>/dev/null
+  wait 2>/dev/null || true
 }
 
 fleet_platform() {
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -28,6 +28,7 @@
       readTime(Reader, "store_timeout_ms", Timing.StoreTimeout);
   Timing.ConfigurationLease =
       readTime(Reader, "configuration_lease_ms", Timing.ConfigurationLease);
+  Timing.StopNotice = readTime(Reader, "stop_notice_ms", Timing.StopNotice);
   Timing.StopGrace = readTime(Reader, "stop_grace_ms", Timing.StopGrace);
   Timing.CallerTimeout =
       readTime(Reader, "caller_timeout_ms", Timing.CallerTimeout);
--- a/src/core/server_group.cpp
+++ b/src/core/server_group.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace agatedale {
 
@@ -18,6 +17,13 @@
 /// Weight of a new service time in the group's typical one.
 constexpr double GroupSmoothing = 0.05;
 
+/// How long a server's own speed is remembered after its last answer; then it
+/// counts as typical, so that a server that was slow once is tried again.
+constexpr duration SpeedMemory = std::chrono::milliseconds(500);
+
+/// Ranks the server that just failed a request behind all others.
+constexpr double AvoidedScore = 1e12;
+
 /// How long a server that says it is draining gets no new work.
 constexpr duration DrainPause = std::chrono::seconds(1);
 
@@ -207,19 +213,27 @@
   return std::max(0, State.Limit.allowed(Now) - occupied(State, Now));
 }
 
+double server_group::expectedMicros(const server_state &State,
+                                    time_point Now) const {
+  const bool Known =
+      State.SmoothedMicros > 0 && Now - State.AnsweredAt < SpeedMemory;
+  return std::max(Known ? State.SmoothedMicros : TypicalMicros, 1.0);
+}
+
 int server_group::chooseServer(int Avoid, time_point Now, bool WarmOnly) const {
   int Best = -1;
-  double BestScore = std::numeric_limits<double>::max();
+  std::pair<double, attempt_id> BestRank;
   for (std::size_t I = 0; I < Servers.size(); ++I) {
     const server_state &State = Servers[I];
     if (freeSlots(State, Now) <= 0 || (WarmOnly && State.Limit.isCold()))
       continue;
     const bool IsAvoided = static_cast<int>(I) == Avoid;
-    const double Known = std::max(State.SmoothedMicros, 1.0);
-    const double Score = Known * (1 + State.InFlight) + (IsAvoided ? 1e12 : 0);
-    if (Score >= BestScore)
+    const double Score = expectedMicros(State, Now) * (1 + State.InFlight) +
+                         (IsAvoided ? AvoidedScore : 0);
+    const std::pair Rank{Score, State.LastAttempt};
+    if (Best >= 0 && Rank >= BestRank)
       continue;
-    BestScore = Score;
+    BestRank = Rank;
     Best = static_cast<int>(I);
   }
   return WarmOnly && Best == Avoid ? -1 : Best;
@@ -325,6 +339,7 @@
   const attempt Attempt{Item.Id, Server, Now, attemptDeadline(Item, Now),
                         Hedge,   false};
   ++State.InFlight;
+  State.LastAttempt = Id;
   ++Counters.Sent;
   Attempts.emplace(Id, Attempt);
   running_request &Request = Running[Item.Id];
@@ -334,7 +349,9 @@
                                State.Server.Address, Attempt.Deadline, Hedge});
 }
 
-void server_group::recordAnswer(server_state &State, duration ServiceTime) {
+void server_group::recordAnswer(server_state &State, duration ServiceTime,
+                                time_point Now) {
+  State.AnsweredAt = Now;
   const double Micros = static_cast<double>(toMicros(ServiceTime));
   const bool WasCold = State.Limit.isCold();
   State.Limit.onAnswer(ServiceTime, fromMicros(TypicalMicros));
@@ -353,7 +370,7 @@
   --State.InFlight;
   switch (Outcome) {
   case attempt_outcome::Answered:
-    recordAnswer(State, Now - Attempt.Started);
+    recordAnswer(State, Now - Attempt.Started, Now);
     return;
   case attempt_outcome::ErrorAnswer:
     State.Limit.onErrorAnswer(Now);
--- a/src/node/admin_server.cpp
+++ b/src/node/admin_server.cpp
@@ -82,8 +82,9 @@
     sendText(Response, 200, "ok\n");
   } else if (Path == "/readyz") {
     const auto View = Parts.Path.view();
-    sendText(Response, View->MayServe ? 200 : 503,
-             View->MayServe  ? "ready\n"
+    const bool Ready = View->MayServe && !View->Leaving;
+    sendText(Response, Ready ? 200 : 503,
+             Ready           ? "ready\n"
              : View->Leaving ? "stopping\n"
                              : "not ready\n");
   } else if (Path == "/metrics") {
@@ -162,7 +163,7 @@
   Json.set("vm", Settings.Vm);
   Json.set("zone", Settings.Zone);
   Json.set("region", Settings.Region);
-  Json.set("ready", View->MayServe);
+  Json.set("ready", View->MayServe && !View->Leaving);
   Json.set("leaving", View->Leaving);
   Json.set("configuration", Parts.Control.version());
   Json.set("configuration_lease_ms",
--- a/src/node/control.cpp
+++ b/src/node/control.cpp
@@ -234,7 +234,7 @@
 }
 
 bool control::mayServe(time_point Now) const {
-  return Configuration.mayServe(Now) && !Leaving;
+  return Configuration.mayServe(Now) && !Refusing;
 }
 
 std::optional<roster> control::rosterToWrite(time_point Now) {
@@ -361,6 +361,11 @@
   NextHeartbeat.clear();
 }
 
+void control::setRefusing() {
+  const std::lock_guard Guard(Lock);
+  Refusing = true;
+}
+
 std::optional<entry_vm> control::believedOwner(const lease_subject &Subject,
                                                time_point Now) const {
   if (Now < Holder.ownedUntil(Subject, Ended, Now))
--- a/src/node/control.h
+++ b/src/node/control.h
@@ -25,8 +25,8 @@
 
 /// What the request path reads; made anew when something in it changes.
 struct routing_view {
-  bool MayServe = false;
-  bool Leaving = false;
+  bool MayServe = false; ///< Requests are taken.
+  bool Leaving = false;  ///< A stop was asked for; readyz says so.
   std::uint64_t Version = 0;
   std::shared_ptr<const configuration> Configuration;
   std::map<lease_subject, entry_vm> Owners; ///< Believed owners.
@@ -114,7 +114,11 @@
   /// Returns the peer to fetch a newer configuration from, if one has it.
   std::optional<entry_vm> peerWithNewer(time_point Now) const;
 
+  /// Owns nothing new from now on; requests are still served.
   void setLeaving(time_point Now);
+
+  /// Refuses requests from now on.
+  void setRefusing();
   std::shared_ptr<const routing_view> makeView(time_point Now);
   std::vector<member_status> members(time_point Now) const;
   std::uint64_t version() const;
@@ -150,6 +154,7 @@
   lease_holder Holder;
   configuration_state Configuration;
   bool Leaving = false;
+  bool Refusing = false;
   std::map<std::string, listed_vm> Listed;
   std::map<std::string, std::uint64_t> PeerEpochs;
   std::map<std::string, std::uint64_t> PeerVersions;
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -389,7 +389,10 @@
   applyNews();
   Callers->closeConnections();
   // The platform's balancer needs a moment to see that this VM is not ready;
-  // until then requests are refused as not run, or served where they can be.
+  // until then its callers are served by the new owners.
+  std::this_thread::sleep_for(Settings.Timing.StopNotice);
+  Control.setRefusing();
+  applyNews();
   finishRequests();
   Callers->stop(std::chrono::milliseconds(500));
   // One more heartbeat tells the voters that this node retires.
--- a/src/node/peer_service.cpp
+++ b/src/node/peer_service.cpp
@@ -101,8 +101,8 @@
                         const wire::HandOverRequest *Request,
                         wire::HandOverReply *Reply) override {
     const auto View = Parts.Path.view();
-    Reply->set_accepted(View->MayServe);
-    if (!View->MayServe)
+    Reply->set_accepted(View->MayServe && !View->Leaving);
+    if (!Reply->accepted())
       return grpc::Status::OK;
     Parts.Owned.receive(*Request, monotonicNow());
     Parts.OnLeaseNews();
--- /dev/null
+++ b/tests/unit/roster_test.cpp
@@ -0,0 +1,124 @@
+/// \file
+/// Tests of the roster's quorums and changes.
+#include "agatedale/roster.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace agatedale;
+using std::chrono::milliseconds;
+
+BOOST_AUTO_TEST_SUITE(roster_test)
+
+namespace {
+
+constexpr time_point Start{std::chrono::hours(1)};
+constexpr milliseconds Lease{1500};
+
+vm_id id(int Number) { return {"vm" + std::to_string(Number), 1}; }
+
+std::vector<vm_id> ids(int From, int To) {
+  std::vector<vm_id> Ids;
+  for (int I = From; I <= To; ++I)
+    Ids.push_back(id(I));
+  return Ids;
+}
+
+std::set<vm_id> granted(int From, int To) {
+  const auto Ids = ids(From, To);
+  return {Ids.begin(), Ids.end()};
+}
+
+entry_vm ready(const vm_id &Id) {
+  return {Id, "10.0.0.1", "a", "r", true, false};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(HalfOfTheVotersIsNoQuorum) {
+  const departures Ended = departures::create(Lease);
+  BOOST_TEST(!isQuorum({1, ids(1, 4), {}}, granted(1, 2), Ended, Start));
+  BOOST_TEST(isQuorum({1, ids(1, 4), {}}, granted(1, 3), Ended, Start));
+}
+
+BOOST_AUTO_TEST_CASE(QuorumNeedsAMajorityOfPriorVotersToo) {
+  const departures Ended = departures::create(Lease);
+  const roster Joint{2, ids(4, 6), ids(1, 3)};
+  BOOST_TEST(!isQuorum(Joint, granted(4, 6), Ended, Start));
+  BOOST_TEST(isQuorum(Joint, granted(2, 6), Ended, Start));
+}
+
+BOOST_AUTO_TEST_CASE(EndedVoterCountsOnlyAfterTheLease) {
+  departures Ended = departures::create(Lease);
+  const std::vector<std::string> All{"vm1", "vm2", "vm3"};
+  const std::vector<std::string> Left{"vm1"};
+  Ended.onVmList(All, Start);
+  Ended.onVmList(Left, Start);
+  const roster Roster{1, ids(1, 3), {}};
+  BOOST_TEST(!isQuorum(Roster, granted(1, 1), Ended, Start));
+  BOOST_TEST(isQuorum(Roster, granted(1, 1), Ended, Start + Lease));
+}
+
+BOOST_AUTO_TEST_CASE(VmThatWasNeverListedIsNotTakenForEnded) {
+  departures Ended = departures::create(Lease);
+  const std::vector<std::string> Left{"vm1"};
+  Ended.onVmList(Left, Start);
+  BOOST_TEST(!Ended.certain(id(2), Start + 10 * Lease));
+}
+
+BOOST_AUTO_TEST_CASE(NewerLifeProvesTheEndOfTheEarlier) {
+  departures Ended = departures::create(Lease);
+  Ended.onHeard({"vm1", 1}, Start);
+  Ended.onHeard({"vm1", 2}, Start);
+  BOOST_TEST(!Ended.certain({"vm1", 1}, Start));
+  BOOST_TEST(Ended.certain({"vm1", 1}, Start + Lease));
+  BOOST_TEST(!Ended.certain({"vm1", 2}, Start + Lease));
+}
+
+BOOST_AUTO_TEST_CASE(NothingChangesBeforeTheCurrentRosterIsAdopted) {
+  const departures Ended = departures::create(Lease);
+  roster_adoption Adoption;
+  const std::vector<entry_vm> Live{ready(id(1)), ready(id(2))};
+  BOOST_TEST(
+      !nextRoster({1, ids(1, 1), {}}, Live, Adoption, Ended, Lease, Start)
+           .has_value());
+}
+
+BOOST_AUTO_TEST_CASE(NewVoterComesInBesideThePriorOnes) {
+  const departures Ended = departures::create(Lease);
+  roster_adoption Adoption;
+  Adoption.heard(id(1), 1, Start);
+  const std::vector<entry_vm> Live{ready(id(1)), ready(id(2))};
+  const auto Next = nextRoster({1, ids(1, 1), {}}, Live, Adoption, Ended, Lease,
+                               Start + Lease);
+  BOOST_REQUIRE(Next.has_value());
+  BOOST_TEST(Next->Epoch == 2);
+  BOOST_TEST(Next->Voters.size() == 2);
+  BOOST_TEST(Next->Prior.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(PriorVotersAreDroppedOnceTheChangeIsAdopted) {
+  const departures Ended = departures::create(Lease);
+  roster_adoption Adoption;
+  Adoption.heard(id(1), 2, Start);
+  Adoption.heard(id(2), 2, Start);
+  const std::vector<entry_vm> Live{ready(id(1)), ready(id(2))};
+  const auto Next = nextRoster({2, ids(1, 2), ids(1, 1)}, Live, Adoption, Ended,
+                               Lease, Start + Lease);
+  BOOST_REQUIRE(Next.has_value());
+  BOOST_TEST(Next->Prior.empty());
+}
+
+BOOST_AUTO_TEST_CASE(RosterWhoseVotersAllEndedIsReplaced) {
+  departures Ended = departures::create(Lease);
+  const std::vector<std::string> All{"vm1"};
+  Ended.onVmList(All, Start);
+  Ended.onVmList({}, Start);
+  const std::vector<entry_vm> Live{ready(id(2))};
+  const auto Next =
+      nextRoster({1, ids(1, 1), {}}, Live, {}, Ended, Lease, Start + Lease);
+  BOOST_REQUIRE(Next.has_value());
+  BOOST_TEST(Next->Voters.size() == 1);
+  BOOST_TEST(Next->Prior.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
