A peer that may not serve extends nobody's right to serve

Cause: the model of configuration acceptance (spec/configuration.pml) was refuted by this run: entry VM 0 is cut off and lapses with version 1, version 2 is accepted, VM 1 is replaced and knows nothing, the two hear each other, VM 1 takes version 1 from VM 0 and both serve it after version 2 was accepted. The code did the same: any contact with a peer of an equal or older version counted. Change: a contact counts only with a peer that may itself serve and has the same version, and a node that may not serve passes no version on. Ruled out: a slower lease, which only makes the run longer. Costs: if every VM lapses at once while the store is down, none serves until the store is back.

--- a/include/agatedale/configuration.h
+++ b/include/agatedale/configuration.h
@@ -22,6 +22,7 @@
   std::string Zone;
   int Part = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   auto operator<=>(const group_id &) const = default;
 };
 
--- a/include/agatedale/configuration_state.h
+++ b/include/agatedale/configuration_state.h
@@ -25,7 +25,7 @@
 ///
 ///   configuration_state State = configuration_state::create(Lease);
 ///   State.offer(Published, Parsed);
-///   State.onContact(Now);
+///   State.onStore(StoreVersion, Now);
 ///   if (State.mayServe(Now)) ...
 class configuration_state {
 public:
@@ -44,8 +44,21 @@
     return true;
   }
 
-  /// Records that the store or a peer of the fleet answered.
-  void onContact(time_point Now) { LastContact = std::max(LastContact, Now); }
+  /// Records that the store answered and named \p StoreVersion as in force. A
+  /// node that knows of a newer version and could not get it is as good as cut
+  /// off.
+  void onStore(std::uint64_t StoreVersion, time_point Now) {
+    if (StoreVersion <= Published.Version)
+      onContact(Now);
+  }
+
+  /// Records that a peer answered. It counts only when the peer may serve
+  /// itself and has the same version: two nodes that both lapsed must not keep
+  /// each other going (spec/configuration.pml, mutant LAPSED_PEER).
+  void onPeer(bool PeerMayServe, std::uint64_t PeerVersion, time_point Now) {
+    if (PeerMayServe && PeerVersion == Published.Version)
+      onContact(Now);
+  }
 
   /// Returns true while the node has a configuration and is not cut off.
   bool mayServe(time_point Now) const {
@@ -59,6 +72,8 @@
 private:
   explicit configuration_state(duration Lease) : Lease(Lease) {}
 
+  void onContact(time_point Now) { LastContact = std::max(LastContact, Now); }
+
   duration Lease;
   published_configuration Published;
   std::shared_ptr<const configuration> Current;
--- a/include/agatedale/entry_vm.h
+++ b/include/agatedale/entry_vm.h
@@ -21,6 +21,7 @@
   std::string Name;
   std::uint64_t Incarnation = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   auto operator<=>(const vm_id &) const = default;
 };
 
--- /dev/null
+++ b/spec/keys.pml
@@ -0,0 +1,146 @@
+/*
+ * Idempotency keys: at most one run for one key over the whole fleet.
+ *
+ * Two callers' sendings of one key through two entry VMs, and two nodes that own
+ * the key's partition one after the other. The first owner may be lost or hand
+ * over; the second knows nothing, a copy, or the whole table. A claim's reply can
+ * be slow: an entry VM may run long after its claim was granted. Rules have the
+ * names of the code: key_table::claim, ::settle, ::takeOver, ::adopt.
+ *
+ * Property: the key runs at most once, and "not run" is said only of a sending
+ * that did not run.
+ *
+ * mutant: NO_FLOOR       an owner after a lost one runs keys it does not know
+ * mutant: CLAIM_AFTER_END the lost owner, paused, goes on granting claims
+ * mutant: FREE_UNKNOWN   a run whose outcome is unknown frees the key
+ * mutant: ANY_SETTLEMENT a settlement of an earlier claim frees the key
+ */
+#define NOCLAIM 9
+
+/* The table of each owner: state of the one key, and its claim. */
+mtype = { Absent, Running, Answered, Unknown };
+mtype table[2] = Absent;
+byte claimOf[2] = NOCLAIM;
+bool floorUp[2];          /* unknown keys of this age are refused */
+byte owner = 0;           /* who owns the partition; the other grants nothing */
+bool tookOver;
+mtype copy = Absent;      /* what the second node was sent of the first's table */
+byte copyClaim = NOCLAIM;
+
+byte runs = 0;
+byte settledClaim = NOCLAIM; /* told as not run, and perhaps told again */
+
+/* key_table::claim at node n, for claim c; the outcome goes to result:
+ * 0 refused, 1 run, 2 replay, 3 wait. */
+inline claimAt(n, c, result) {
+  if
+#ifdef CLAIM_AFTER_END
+  :: n != owner && n == 1 -> result = 3
+#else
+  :: n != owner -> result = 3
+#endif
+  :: else ->
+       if
+       :: table[n] == Absent && floorUp[n] -> result = 0
+       :: table[n] == Absent && !floorUp[n] ->
+            table[n] = Running; claimOf[n] = c; result = 1;
+            /* the copy may or may not arrive */
+            if :: n == 0 && !tookOver -> copy = Running; copyClaim = c :: true fi
+       :: table[n] == Running -> result = 3
+       :: table[n] == Answered -> result = 2
+       :: table[n] == Unknown -> result = 0
+       fi
+  fi
+}
+
+/* key_table::settle at node n: outcome 0 not run, 1 answered, 2 unknown. */
+inline settleAt(n, c, outcome) {
+  if
+#ifdef ANY_SETTLEMENT
+  :: table[n] != Absent ->
+#else
+  :: table[n] != Absent && claimOf[n] == c ->
+#endif
+       if
+       :: outcome == 0 -> table[n] = Absent; claimOf[n] = NOCLAIM
+       :: outcome == 1 -> table[n] = Answered
+       :: outcome == 2 ->
+#ifdef FREE_UNKNOWN
+            table[n] = Absent; claimOf[n] = NOCLAIM
+#else
+            table[n] = Unknown
+#endif
+       fi
+  :: else -> skip
+  fi
+}
+
+/* One sending: claim, dispatch, settle; tried again after "not run". */
+proctype sending(byte me) {
+  byte got, outcome, target, tries;
+  bool ran;
+again:
+  atomic { if :: target = 0 :: target = 1 fi }
+  atomic { claimAt(target, me * 2 + tries, got) }
+  if
+  :: got == 1 ->
+       atomic {
+         /* dispatch: it runs and is answered, runs and its answer is lost, or
+          * is proved not to have run */
+         if
+         :: runs++; ran = true; outcome = 1
+         :: runs++; ran = true; outcome = 2
+         :: outcome = 0
+         :: outcome = 2
+         fi;
+         if :: outcome == 0 -> settledClaim = me * 2 + tries :: else -> skip fi;
+         assert(runs <= 1);
+         assert(outcome != 0 || !ran)
+       }
+       /* the settlement reaches either owner, twice, late, or nobody */
+       if
+       :: true -> atomic { settleAt(0, me * 2 + tries, outcome) }
+       :: true -> atomic { settleAt(1, me * 2 + tries, outcome) }
+       :: true
+       fi;
+       if
+       :: outcome == 0 && tries == 0 -> tries = 1; goto again
+       :: else -> skip
+       fi
+  :: got == 3 && tries == 0 -> tries = 1; goto again
+  :: else -> skip
+  fi
+}
+
+/* A settlement is sent again because its answer was lost. */
+proctype repeatedSettlement() {
+  byte n;
+  atomic { if :: n = 0 :: n = 1 fi }
+  atomic { settledClaim != NOCLAIM -> settleAt(n, settledClaim, 0) }
+}
+
+/* The first owner is lost (or paused past its lease), or hands over. */
+proctype change() {
+  if
+  :: atomic {
+       owner = 1; tookOver = true;
+#ifndef NO_FLOOR
+       floorUp[1] = true;
+#endif
+       /* key_table::adopt with OwnerLost */
+       if
+       :: copy == Running -> table[1] = Unknown; claimOf[1] = copyClaim
+       :: copy == Answered -> table[1] = Answered; claimOf[1] = copyClaim
+       :: else -> skip
+       fi }
+  :: atomic {
+       owner = 1; tookOver = true;
+       table[1] = table[0]; claimOf[1] = claimOf[0] }
+  :: true
+  fi
+}
+
+init {
+  atomic { run sending(0); run sending(1); run sending(2); run change();
+           run repeatedSettlement() }
+}
--- /dev/null
+++ b/spec/ownership.pml
@@ -0,0 +1,219 @@
+/*
+ * Who may dispatch to a server group: leases granted by a majority of voters.
+ *
+ * Three voters, two holders, one subject. Time is discrete; a promise and a
+ * lease last LEASE ticks, a message may take any time or be lost. A holder can
+ * be paused at any point and reads its clock right before it sends. A voter can
+ * end for good; the platform's list then proves it, and it is left out of the
+ * majority WAIT ticks later. An owner may hand over: it stops first, then
+ * releases. Rules have the names of the code: lease_voter::answer,
+ * lease_holder::onReply, isQuorum, departures::certain.
+ *
+ * Property: whenever a holder sends, the other owns nothing by its own rules
+ * ("at most one dispatcher").
+ *
+ * mutant: RECEIPT_TIME    the holder granteds its lease from the reply's arrival
+ * mutant: EARLY_GRANT     a voter gives a subject away before its promise lapsed
+ * mutant: NO_RECHECK      the holder does not look at its clock before it sends
+ * mutant: RELEASE_FIRST   a hand-over releases before it stops sending
+ * mutant: EARLY_DEPARTURE an ended voter is left out at once
+ * mutant: MINORITY        one grant is enough
+ * mutant: STALE_REPLY     a reply to an overtaken request granteds
+ */
+#define LEASE 1
+#define WAIT 1
+#define VOTERS 3
+#define NONE 2
+#define HORIZON 4
+
+byte now = 0;
+
+/* What each voter promised: to whom, until when. */
+byte promisedTo[VOTERS];
+byte promiseEnd[VOTERS];
+bool ended[VOTERS];
+byte endedAt[VOTERS];
+
+/* What each holder knows, by voter: the end of its grant (0: none), and the
+ * reply on its way. A newer request replaces an older reply. */
+typedef holder_state {
+  byte grantEnd[VOTERS];
+  bool wire[VOTERS];
+  byte wireAsked[VOTERS]; /* when its request was asked */
+  bool wireStale[VOTERS]; /* overtaken by a newer request */
+  bool wants;
+  bool wantedAgain;
+#ifdef NO_RECHECK
+  bool checked;
+#endif
+};
+holder_state h[2];
+
+inline able(v, result) {
+#ifdef EARLY_DEPARTURE
+  result = !ended[v];
+#else
+  result = !(ended[v] && now >= endedAt[v] + WAIT);
+#endif
+}
+
+/* isQuorum: more than half of the voters whose end is not certain. */
+byte granted, voters, vv;
+bool ok;
+inline owns(i, result) {
+  granted = 0; voters = 0; vv = 0;
+  do
+  :: vv < VOTERS ->
+       able(vv, ok);
+       if
+       :: ok ->
+            voters++;
+            if
+            :: h[i].grantEnd[vv] > now -> granted++
+            :: else -> skip
+            fi
+       :: else -> skip
+       fi;
+       vv++
+  :: else -> break
+  od;
+  vv = 0; ok = false;
+#ifdef MINORITY
+  result = (granted >= 1);
+#else
+  result = (2 * granted > voters);
+#endif
+  granted = 0; voters = 0
+}
+
+inline otherHolds(v, i, result) {
+#ifdef EARLY_GRANT
+  result = false;
+#else
+  result = (promisedTo[v] != NONE && promisedTo[v] != i && promiseEnd[v] > now);
+#endif
+}
+
+/* One step of holder i with voter v: ask, be answered, take the answer in. */
+inline exchange(i, v) {
+  if
+  /* lease_holder::poll and lease_voter::answer in one step: a request that
+   * takes its time only starts the promise later, and one that was overtaken
+   * is not accepted */
+  :: atomic { h[i].wants && now < HORIZON && !ended[v] ->
+       otherHolds(v, i, held);
+       if
+       :: held -> skip
+       :: else ->
+            promisedTo[v] = i; promiseEnd[v] = now + LEASE;
+            h[i].wire[v] = true; h[i].wireAsked[v] = now;
+            h[i].wireStale[v] = false
+       fi; held = false }
+  /* lease_holder::onReply */
+  :: atomic { h[i].wire[v] ->
+       if
+#ifdef STALE_REPLY
+       :: true ->
+#else
+       :: h[i].wants && !h[i].wireStale[v] ->
+#endif
+#ifdef RECEIPT_TIME
+            h[i].grantEnd[v] = now + LEASE
+#else
+            h[i].grantEnd[v] = h[i].wireAsked[v] + LEASE
+#endif
+#ifndef STALE_REPLY
+       :: else -> skip
+#endif
+       fi;
+       h[i].wire[v] = false; h[i].wireAsked[v] = 0; h[i].wireStale[v] = false }
+  fi
+}
+
+bool held, mine, rivalOwns;
+byte rival;
+
+/* The holder sends: the other must own nothing. */
+inline dispatch(i) {
+  rival = 1 - i;
+  owns(rival, rivalOwns);
+  assert(!rivalOwns);
+  rivalOwns = false; rival = 0
+}
+
+inline stopSending(i) {
+  h[i].wants = false;
+  h[i].grantEnd[0] = 0; h[i].grantEnd[1] = 0; h[i].grantEnd[2] = 0;
+  h[i].wireStale[0] = h[i].wire[0];
+  h[i].wireStale[1] = h[i].wire[1];
+  h[i].wireStale[2] = h[i].wire[2]
+}
+
+inline releaseAll(i) {
+  vv = 0;
+  do
+  :: vv < VOTERS ->
+       if
+       :: promisedTo[vv] == i && !ended[vv] -> promisedTo[vv] = NONE; promiseEnd[vv] = 0
+       :: else -> skip
+       fi;
+       vv++
+  :: else -> break
+  od;
+  vv = 0
+}
+
+proctype holder(byte i) {
+  do
+  :: exchange(i, 0)
+  :: exchange(i, 1)
+  :: exchange(i, 2)
+  /* group_shard::attempt: the clock is read right before the send */
+#ifdef NO_RECHECK
+  :: atomic { owns(i, mine); if :: mine -> h[i].checked = true :: else -> skip fi; mine = false }
+  :: atomic { h[i].checked -> h[i].checked = false; dispatch(i) }
+#else
+  :: atomic { owns(i, mine); if :: mine -> dispatch(i) :: else -> skip fi; mine = false }
+#endif
+  /* owned_subjects::handOver: stop, then release at every voter */
+#ifdef RELEASE_FIRST
+  :: atomic { h[i].wants -> releaseAll(i) }
+  :: atomic { h[i].wants -> stopSending(i) }
+#else
+  :: atomic { h[i].wants -> stopSending(i) }
+  :: atomic { !h[i].wants -> releaseAll(i) }
+#endif
+  /* the group is better here again */
+  :: atomic { !h[i].wants && !h[i].wantedAgain ->
+       h[i].wantedAgain = true; h[i].wants = true }
+  :: now >= HORIZON -> break
+  od
+}
+
+/* Time passes, and one voter may end. */
+proctype environment() {
+  do
+  :: atomic { now < HORIZON ->
+       now++; vv = 0;
+       /* what has lapsed all looks alike */
+       do
+       :: vv < VOTERS ->
+            if :: promiseEnd[vv] <= now -> promisedTo[vv] = NONE; promiseEnd[vv] = 0 :: else -> skip fi;
+            if :: h[0].grantEnd[vv] <= now -> h[0].grantEnd[vv] = 0 :: else -> skip fi;
+            if :: h[1].grantEnd[vv] <= now -> h[1].grantEnd[vv] = 0 :: else -> skip fi;
+            vv++
+       :: else -> break
+       od;
+       vv = 0 }
+  :: atomic { !ended[0] -> ended[0] = true; endedAt[0] = now }
+  :: now >= HORIZON -> break
+  od
+}
+
+init {
+  atomic {
+    promisedTo[0] = NONE; promisedTo[1] = NONE; promisedTo[2] = NONE;
+    h[0].wants = true; h[1].wants = true;
+    run holder(0); run holder(1); run environment()
+  }
+}
--- a/src/config/configuration_reader.cpp
+++ b/src/config/configuration_reader.cpp
@@ -53,7 +53,7 @@
     if (Existing && Existing->is_table() && Node.is_table())
       mergeTables(*Existing->as_table(), std::move(*Node.as_table()));
     else
-      Node.visit([&Into, &Name = Key](auto &&Value) {
+      Node.visit([&Into, &Name = Key](auto &Value) {
         Into.insert_or_assign(Name.str(), std::move(Value));
       });
   }
--- a/src/node/admin_server.cpp
+++ b/src/node/admin_server.cpp
@@ -77,7 +77,7 @@
 
 void admin_server::answer(http_request &Request, http_response &Response) {
   const Poco::URI Uri(Request.getURI());
-  const std::string Path = Uri.getPath();
+  const std::string &Path = Uri.getPath();
   if (Path == "/healthz") {
     sendText(Response, 200, "ok\n");
   } else if (Path == "/readyz") {
--- a/src/node/control.cpp
+++ b/src/node/control.cpp
@@ -57,10 +57,7 @@
     PeerEpochs[Vm.Id.Name] = RosterEpoch;
   }
   PeerVersions[Vm.Id.Name] = Version;
-  // A node that knows of a newer version and cannot get it is as good as cut
-  // off: such a contact does not extend its right to serve.
-  if (Version <= Configuration.version())
-    Configuration.onContact(Now);
+  Configuration.onPeer(Vm.Ready, Version, Now);
 }
 
 wire::ExchangeReply control::answer(const wire::ExchangeRequest &Request,
@@ -207,8 +204,7 @@
 
 void control::onStoreContact(std::uint64_t StoreVersion, time_point Now) {
   const std::lock_guard Guard(Lock);
-  if (StoreVersion <= Configuration.version())
-    Configuration.onContact(Now);
+  Configuration.onStore(StoreVersion, Now);
 }
 
 void control::onConfiguration(const published_configuration &Published,
@@ -225,7 +221,7 @@
       Published, std::make_shared<configuration>(takeValue(std::move(Parsed))));
   if (!Taken)
     return;
-  Configuration.onContact(Now);
+  Configuration.onStore(Published.Version, Now);
   Events.add(
       {wallNow(), event_kind::ConfigurationTaken, "configuration", "",
        fmt::format("version={} by={}", Published.Version, Published.Operator)});
@@ -348,7 +344,9 @@
   const std::lock_guard Guard(Lock);
   for (const entry_vm &Vm : Members.live(Now)) {
     const auto Known = PeerVersions.find(Vm.Id.Name);
-    if (Known != PeerVersions.end() && Known->second > Configuration.version())
+    const bool IsNewer = Known != PeerVersions.end() &&
+                         Known->second > Configuration.version();
+    if (Vm.Ready && IsNewer)
       return Vm;
   }
   return std::nullopt;
--- a/src/node/peer_service.cpp
+++ b/src/node/peer_service.cpp
@@ -65,6 +65,9 @@
   FetchConfiguration(grpc::ServerContext *,
                      const wire::FetchConfigurationRequest *,
                      wire::FetchConfigurationReply *Reply) override {
+    // A node that may not serve itself must not pass its version on.
+    if (!Parts.Path.view()->MayServe)
+      return {grpc::StatusCode::FAILED_PRECONDITION, "not ready"};
     const published_configuration Published = Parts.Control.published();
     Reply->set_version(Published.Version);
     Reply->set_change_id(Published.ChangeId);
--- a/src/node/request_path.cpp
+++ b/src/node/request_path.cpp
@@ -303,7 +303,7 @@
   while (monotonicNow() < Deadline) {
     const auto Owner = ownerOf(Partition);
     if (Owner && Owner->Id.Name == Settings.Vm) {
-      const claim_outcome Outcome = claimHere(Partition, Claim, Deadline);
+      claim_outcome Outcome = claimHere(Partition, Claim, Deadline);
       if (Outcome.Reason != refusal_reason::NotOwner)
         return Outcome;
     } else if (Owner) {
--- a/standins/backend_main.cpp
+++ b/standins/backend_main.cpp
@@ -62,7 +62,7 @@
 
   void answer(http_request &Request, http_response &Response) {
     const Poco::URI Uri(Request.getURI());
-    const std::string Path = Uri.getPath();
+    const std::string &Path = Uri.getPath();
     if (Path == "/control")
       control(Uri, Response);
     else if (Path == "/counts")
--- a/standins/platform_main.cpp
+++ b/standins/platform_main.cpp
@@ -40,7 +40,7 @@
 
   void answer(http_request &Request, http_response &Response) {
     const Poco::URI Uri(Request.getURI());
-    const std::string Path = Uri.getPath();
+    const std::string &Path = Uri.getPath();
     if (Path == "/faults") {
       setFaults(Uri);
       sendText(Response, 200, "ok\n");
--- a/tests/unit/publishing_test.cpp
+++ b/tests/unit/publishing_test.cpp
@@ -143,11 +143,32 @@
 BOOST_AUTO_TEST_CASE(NodeThatHearsNobodyStopsServingAfterTheLease) {
   constexpr time_point Start{std::chrono::hours(1)};
   configuration_state State = configuration_state::create(seconds(5));
-  State.onContact(Start);
+  State.onStore(0, Start);
   BOOST_TEST(!State.mayServe(Start), "expected not ready without a version");
   State.offer({1, "c", "o", ""}, std::make_shared<configuration>());
   BOOST_TEST(State.mayServe(Start + seconds(4)));
   BOOST_TEST(!State.mayServe(Start + seconds(5)));
 }
 
+BOOST_AUTO_TEST_CASE(OnlyAPeerThatServesTheSameVersionExtendsTheRight) {
+  constexpr time_point Start{std::chrono::hours(1)};
+  configuration_state State = configuration_state::create(seconds(5));
+  State.offer({2, "c", "o", ""}, std::make_shared<configuration>());
+  State.onStore(2, Start);
+  State.onPeer(false, 2, Start + seconds(3));
+  State.onPeer(true, 1, Start + seconds(3));
+  State.onPeer(true, 3, Start + seconds(3));
+  BOOST_TEST(!State.mayServe(Start + seconds(6)));
+  State.onPeer(true, 2, Start + seconds(3));
+  BOOST_TEST(State.mayServe(Start + seconds(6)));
+}
+
+BOOST_AUTO_TEST_CASE(StoreThatNamesANewerVersionExtendsNothing) {
+  constexpr time_point Start{std::chrono::hours(1)};
+  configuration_state State = configuration_state::create(seconds(5));
+  State.offer({2, "c", "o", ""}, std::make_shared<configuration>());
+  State.onStore(3, Start);
+  BOOST_TEST(!State.mayServe(Start));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/server_group_test.cpp
+++ b/tests/unit/server_group_test.cpp
@@ -19,6 +19,7 @@
 
 std::vector<backend_server> servers(int Count) {
   std::vector<backend_server> Servers;
+  Servers.reserve(static_cast<std::size_t>(Count));
   for (int I = 0; I < Count; ++I)
     Servers.push_back({"s" + std::to_string(I), "orders", "a",
                        "127.0.0.1:" + std::to_string(9000 + I), false});
