--- a/include/agatedale/server_group.h
+++ b/include/agatedale/server_group.h
@@ -65,7 +65,7 @@
   Broke,         ///< The connection broke after sending began.
   TimedOut,      ///< No answer by the attempt's deadline.
   Truncated,     ///< The answer ended early.
-  Cancelled,     ///< Broken off by a cancel_order.
+  Cancelled,     ///< Broken off by a cancel_order; the server confirmed it.
   BodyIncomplete ///< The caller did not send its whole body.
 };
 
@@ -106,9 +106,11 @@
   /// Shortest time that an idempotent attempt is given.
   duration LeastAttemptTime = std::chrono::milliseconds(250);
   /// Idempotent attempts are given this many typical service times.
-  int AttemptFactor = 12;
+  int AttemptFactor = 50;
   /// An idempotent attempt this many typical times old is hedged.
-  int HedgeFactor = 4;
+  int HedgeFactor = 6;
+  /// Hedges are sent while at most this share of the slots is taken.
+  double HedgeBelowShare = 0.75;
   /// A broken-off attempt's slot stays taken this long after its deadline.
   duration CancelGrace = std::chrono::milliseconds(50);
 };
--- a/src/core/server_group.cpp
+++ b/src/core/server_group.cpp
@@ -384,14 +384,12 @@
     State.Limit.turnCold();
     return;
   case attempt_outcome::NotSent:
+  case attempt_outcome::Cancelled:
     return;
   case attempt_outcome::ConnectFailed:
     State.Limit.onFailure(Now);
     ++Counters.LimitCuts;
     return;
-  case attempt_outcome::Cancelled:
-    State.Lingering.push_back(Attempt.Deadline + Settings.CancelGrace);
-    return;
   case attempt_outcome::BodyIncomplete:
     State.Lingering.push_back(Now + Settings.CancelGrace);
     return;
@@ -492,6 +490,8 @@
                              std::vector<group_action> &Actions) {
   if (!Settings.Hedging || !Queue.empty() || TypicalMicros <= 0)
     return;
+  if (load(Now).InFlight > Settings.HedgeBelowShare * totalLimit(Now))
+    return;
   const duration Slow = fromMicros(TypicalMicros * Settings.HedgeFactor);
   std::vector<attempt_id> Candidates;
   for (const auto &[Id, Attempt] : Attempts) {
--- a/src/node/backend_connection.cpp
+++ b/src/node/backend_connection.cpp
@@ -105,7 +105,9 @@
                            ? attempt_outcome::TimedOut
                            : attempt_outcome::Broke;
     }
-    if (Connection.cancelled() && Result.Outcome != attempt_outcome::Answered)
+    // After a cancel the server's own closing proves that it let go; when it
+    // stays silent the attempt times out and its slot stays taken.
+    if (Connection.cancelled() && Result.Outcome == attempt_outcome::Broke)
       Result.Outcome = attempt_outcome::Cancelled;
     return std::move(Result);
   }
@@ -279,7 +281,7 @@
 
 void backend_connection::cancel() {
   Cancelled = true;
-  ::shutdown(Session->socket().impl()->sockfd(), SHUT_RDWR);
+  ::shutdown(Session->socket().impl()->sockfd(), SHUT_WR);
 }
 
 bool backend_connection::isStale() {
--- a/src/node/backend_connection.h
+++ b/src/node/backend_connection.h
@@ -25,7 +25,8 @@
   static result<std::shared_ptr<backend_connection>>
   open(const std::string &Address, duration Timeout);
 
-  /// Breaks off a running attempt from another thread.
+  /// Breaks off a running attempt from another thread: closes the sending
+  /// side, upon which the server stops and closes its own.
   void cancel();
   bool cancelled() const { return Cancelled.load(); }
 
--- a/src/node/control.cpp
+++ b/src/node/control.cpp
@@ -344,8 +344,8 @@
   const std::lock_guard Guard(Lock);
   for (const entry_vm &Vm : Members.live(Now)) {
     const auto Known = PeerVersions.find(Vm.Id.Name);
-    const bool IsNewer = Known != PeerVersions.end() &&
-                         Known->second > Configuration.version();
+    const bool IsNewer =
+        Known != PeerVersions.end() && Known->second > Configuration.version();
     if (Vm.Ready && IsNewer)
       return Vm;
   }
--- a/tools/policies_main.cpp
+++ b/tools/policies_main.cpp
@@ -14,9 +14,11 @@
 #include <cmath>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <queue>
 #include <random>
+#include <set>
 #include <vector>
 
 namespace {
@@ -112,7 +114,7 @@
   /// every slot was taken and it had to wait.
   bool take(double WorkMs, std::function<void()> Done) {
     ++Load;
-    const bool Free = Running < limit();
+    const bool Free = Running < Slots;
     if (Free)
       start(WorkMs, std::move(Done));
     else
@@ -120,6 +122,15 @@
     return Free;
   }
 
+  /// Stops the work named by \p Work at once, as a closed connection does.
+  void cancel(std::uint64_t Work) {
+    if (Started.erase(Work) > 0)
+      leave();
+  }
+
+  /// Names the work that the last take() started.
+  std::uint64_t lastWork() const { return NextWork; }
+
   int load() const { return Load; }
 
 private:
@@ -132,8 +143,6 @@
     return std::exponential_distribution<double>(1 / Mean)(Random);
   }
 
-  int limit() const { return Slots; }
-
   double factor() {
     while (NextSlow + SlowMs < Time.now())
       NextSlow += SlowMs + exponential(SlowEveryMs);
@@ -152,18 +161,26 @@
   void start(double WorkMs, std::function<void()> Done) {
     ++Running;
     const double Length = WorkMs * factor();
-    Time.at(Time.now() + Length, [this, Done = std::move(Done)] {
-      --Running;
-      --Load;
-      if (!Waiting.empty()) {
-        waiting Next = std::move(Waiting.front());
-        Waiting.pop_front();
-        start(Next.WorkMs, std::move(Next.Done));
-      }
+    const std::uint64_t Work = ++NextWork;
+    Started.insert(Work);
+    Time.at(Time.now() + Length, [this, Work, Done = std::move(Done)] {
+      if (Started.erase(Work) == 0)
+        return;
+      leave();
       Done();
     });
   }
 
+  void leave() {
+    --Running;
+    --Load;
+    if (Waiting.empty())
+      return;
+    waiting Next = std::move(Waiting.front());
+    Waiting.pop_front();
+    start(Next.WorkMs, std::move(Next.Done));
+  }
+
   timeline &Time;
   std::mt19937_64 Random;
   bool TurnsCold;
@@ -172,6 +189,8 @@
   int ColdLeft = 0;
   int Running = 0;
   int Load = 0;
+  std::uint64_t NextWork = 0;
+  std::set<std::uint64_t> Started;
   std::deque<waiting> Waiting;
 };
 
@@ -413,8 +432,7 @@
       if (const auto *Send = std::get_if<send_order>(&Action))
         send(Zone, *Send);
       else if (const auto *Cancel = std::get_if<cancel_order>(&Action))
-        apply(Zone, group(Zone).finish(Cancel->Attempt,
-                                       attempt_outcome::Cancelled, nowPoint()));
+        breakOff(Zone, Cancel->Attempt, attempt_outcome::Cancelled);
       else if (const auto *Deliver = std::get_if<deliver_order>(&Action))
         tellBack(Zone, Deliver->Request, true);
       else
@@ -425,15 +443,46 @@
   void send(int Zone, const send_order &Order) {
     const int Server = std::stoi(Order.Server);
     const double Work = Requests[Order.Request].WorkMs;
-    Time.at(Time.now() + LocalHopMs, [this, Zone, Order, Server, Work] {
-      give(Server, Work, [this, Zone, Order] {
+    const std::pair Name{Zone, Order.Attempt};
+    Time.at(Time.now() + LocalHopMs, [this, Zone, Order, Server, Work, Name] {
+      // Broken off on its way: the server sees the connection close.
+      if (BrokenOff.erase(Name) > 0)
+        return;
+      give(Server, Work, [this, Zone, Order, Name] {
+        Works.erase(Name);
         Time.at(Time.now() + LocalHopMs, [this, Zone, Order] {
-          apply(Zone,
-                group(Zone).finish(Order.Attempt, attempt_outcome::Answered,
-                                   nowPoint()));
+          end(Zone, Order.Attempt, attempt_outcome::Answered);
         });
       });
+      Works[Name] = {Server,
+                     Servers[static_cast<std::size_t>(Server)]->lastWork()};
     });
+    Time.at(millisOf(Order.Deadline), [this, Zone, Order, Name] {
+      if (Works.contains(Name))
+        breakOff(Zone, Order.Attempt, attempt_outcome::TimedOut);
+    });
+  }
+
+  void end(int Zone, attempt_id Attempt, attempt_outcome Outcome) {
+    apply(Zone, group(Zone).finish(Attempt, Outcome, nowPoint()));
+  }
+
+  void breakOff(int Zone, attempt_id Attempt, attempt_outcome Outcome) {
+    const auto Work = Works.find({Zone, Attempt});
+    if (Work != Works.end()) {
+      const auto [Server, Name] = Work->second;
+      Works.erase(Work);
+      Servers[static_cast<std::size_t>(Server)]->cancel(Name);
+    } else {
+      BrokenOff.insert({Zone, Attempt});
+    }
+    end(Zone, Attempt, Outcome);
+  }
+
+  static double millisOf(time_point Point) {
+    return static_cast<double>(
+               toMicros(Point - time_point(std::chrono::hours(1)))) /
+           1000;
   }
 
   void tellBack(int Zone, std::size_t Index, bool Answered) {
@@ -454,6 +503,8 @@
   std::vector<server_group> Groups;
   std::vector<group_id> Ids;
   std::vector<zone_choice> Choices;
+  std::map<std::pair<int, attempt_id>, std::pair<int, std::uint64_t>> Works;
+  std::set<std::pair<int, attempt_id>> BrokenOff;
 };
 
 /// A way with its name.
