Forwarded requests with a whole body take fewer steps

Cause: through another VM of the zone a call took 242 us (p50) and 565 us (p99) longer than direct, the owner's own VM 84 and 226; a bidirectional stream waits four times a call, and gRPC's synchronous server makes a thread for a call when its two pollers are busy. Change: a call with its head for requests with a whole body, and up to 16 pollers are kept. Ruled out: one completion queue (242 to 274 and 476 to 566), reverted.

--- a/src/node/peer_link.cpp
+++ b/src/node/peer_link.cpp
@@ -20,6 +20,9 @@
 
 constexpr int MinReconnectMs = 50;
 constexpr int MaxReconnectMs = 500;
+/// How much longer than a request's deadline its answer is waited for.
+constexpr duration AnswerSlack = std::chrono::milliseconds(100);
+
 constexpr duration OneWayTimeout = std::chrono::milliseconds(500);
 
 std::chrono::system_clock::time_point deadlineIn(duration Length) {
@@ -81,14 +84,10 @@
 using forward_stream =
     grpc::ClientReaderWriter<wire::ForwardPart, wire::AnswerPart>;
 
-/// Sends the head and, for a streamed request, the body. False when the body
-/// broke off; when the peer stops taking it, its answer may still be there.
-bool sendRequest(forward_stream &Stream, const node_request &Request,
-                 const wire::ForwardPart &Head) {
-  if (!Request.Reader) {
-    Stream.WriteLast(Head, grpc::WriteOptions());
-    return true;
-  }
+/// Sends the head and the body of a streamed request. False when the body broke
+/// off; when the peer stops taking it, its answer may still be there.
+bool sendStreamed(forward_stream &Stream, const node_request &Request,
+                  const wire::ForwardPart &Head) {
   if (!Stream.Write(Head))
     return true;
   std::vector<char> Buffer(StreamChunkBytes);
@@ -110,17 +109,18 @@
 }
 
 /// Reads the answer; nothing when the peer broke off before its head came.
-std::optional<node_answer> receiveAnswer(forward_stream &Stream,
+template <typename Stream>
+std::optional<node_answer> receiveAnswer(Stream &From,
                                          const answer_writer &Writer) {
   wire::AnswerPart Part;
-  if (!Stream.Read(&Part) || !Part.has_head())
+  if (!From.Read(&Part) || !Part.has_head())
     return std::nullopt;
   node_answer Answer = fromWire(Part.head());
   if (!Answer.Streamed)
     return Answer;
   Answer.Broken = !Writer.Begin(Answer);
   bool Ended = false;
-  while (!Answer.Broken && !Ended && Stream.Read(&Part)) {
+  while (!Answer.Broken && !Ended && From.Read(&Part)) {
     Ended = Part.end();
     if (!Ended)
       Answer.Broken = !Writer.Write(Part.body());
@@ -129,6 +129,35 @@
   return Answer;
 }
 
+/// Reads the answer and ends the call.
+template <typename Stream>
+std::optional<node_answer> finishCall(Stream &From,
+                                      grpc::ClientContext &Context,
+                                      const answer_writer &Writer) {
+  std::optional<node_answer> Answer = receiveAnswer(From, Writer);
+  if (!Answer || Answer->Broken)
+    Context.TryCancel();
+  From.Finish();
+  return Answer;
+}
+
+/// Keeps a call on its channel's list while it runs, so that it can be broken
+/// off when the peer is lost.
+class call_guard {
+public:
+  call_guard(peer_channel &Channel, grpc::ClientContext &Context)
+      : Channel(Channel), Context(Context) {
+    Channel.add(&Context);
+  }
+  ~call_guard() { Channel.remove(&Context); }
+  call_guard(const call_guard &) = delete;
+  call_guard &operator=(const call_guard &) = delete;
+
+private:
+  peer_channel &Channel;
+  grpc::ClientContext &Context;
+};
+
 } // namespace
 
 peer_links::peer_links(std::uint16_t PeerPort) : PeerPort(PeerPort) {}
@@ -188,23 +217,24 @@
     return refusalOf(refusal_reason::OwnerLost, verdict::NotRun);
   const time_point Now = monotonicNow();
   grpc::ClientContext Context;
-  Context.set_deadline(
-      deadlineIn(Request.Deadline - Now + std::chrono::milliseconds(100)));
-  Context.set_initial_metadata_corked(true);
-  Channel->add(&Context);
-  wire::ForwardPart Head;
-  toWire(Request, Group, Now, *Head.mutable_head());
-  const auto Stream = Channel->stub().Forward(&Context);
-  const bool BodyBroke = !sendRequest(*Stream, Request, Head);
+  Context.set_deadline(deadlineIn(Request.Deadline - Now + AnswerSlack));
+  const call_guard Guard(*Channel, Context);
   std::optional<node_answer> Answer;
-  if (BodyBroke)
-    Context.TryCancel();
-  else
-    Answer = receiveAnswer(*Stream, Writer);
-  if (!Answer || Answer->Broken)
-    Context.TryCancel();
-  Stream->Finish();
-  Channel->remove(&Context);
+  bool BodyBroke = false;
+  if (!Request.Reader) {
+    wire::ForwardHead Head;
+    toWire(Request, Group, Now, Head);
+    const auto Stream = Channel->stub().ForwardWhole(&Context, Head);
+    Answer = finishCall(*Stream, Context, Writer);
+  } else {
+    wire::ForwardPart Head;
+    toWire(Request, Group, Now, *Head.mutable_head());
+    const auto Stream = Channel->stub().Forward(&Context);
+    BodyBroke = !sendStreamed(*Stream, Request, Head);
+    if (BodyBroke)
+      Context.TryCancel();
+    Answer = finishCall(*Stream, Context, Writer);
+  }
   if (Answer)
     return std::move(*Answer);
   return refusalOf(BodyBroke ? refusal_reason::BodyIncomplete
--- a/src/node/peer_service.cpp
+++ b/src/node/peer_service.cpp
@@ -16,6 +16,10 @@
 
 namespace {
 
+/// Threads that wait for calls on each completion queue.
+constexpr int MinPollers = 2;
+constexpr int MaxPollers = 16;
+
 using forward_stream =
     grpc::ServerReaderWriter<wire::AnswerPart, wire::ForwardPart>;
 
@@ -86,18 +90,13 @@
       Request.Reader = [&Body](std::span<char> Buffer) {
         return Body.read(Buffer);
       };
-    const answer_writer Writer = writerTo(*Stream);
-    const node_answer Answer =
-        Parts.Path.servePeer(std::move(Request), Part.head().group(), Writer);
-    wire::AnswerPart Last;
-    if (!Answer.Streamed)
-      toWire(Answer, *Last.mutable_head());
-    else if (Answer.Broken)
-      return {grpc::StatusCode::DATA_LOSS, "the answer ended early"};
-    else
-      Last.set_end(true);
-    Stream->WriteLast(Last, grpc::WriteOptions());
-    return grpc::Status::OK;
+    return serve(std::move(Request), Part.head().group(), *Stream);
+  }
+
+  grpc::Status
+  ForwardWhole(grpc::ServerContext *, const wire::ForwardHead *Head,
+               grpc::ServerWriter<wire::AnswerPart> *Stream) override {
+    return serve(fromWire(*Head, monotonicNow()), Head->group(), *Stream);
   }
 
   grpc::Status HandOver(grpc::ServerContext *,
@@ -165,17 +164,35 @@
   }
 
 private:
-  static answer_writer writerTo(forward_stream &Stream) {
+  /// Serves a request and sends its answer, streamed or whole.
+  template <typename Stream>
+  grpc::Status serve(node_request Request, const std::string &Group,
+                     Stream &To) {
+    const answer_writer Writer = writerTo(To);
+    const node_answer Answer =
+        Parts.Path.servePeer(std::move(Request), Group, Writer);
+    wire::AnswerPart Last;
+    if (!Answer.Streamed)
+      toWire(Answer, *Last.mutable_head());
+    else if (Answer.Broken)
+      return {grpc::StatusCode::DATA_LOSS, "the answer ended early"};
+    else
+      Last.set_end(true);
+    To.WriteLast(Last, grpc::WriteOptions());
+    return grpc::Status::OK;
+  }
+
+  template <typename Stream> static answer_writer writerTo(Stream &To) {
     answer_writer Writer;
-    Writer.Begin = [&Stream](const node_answer &Answer) {
+    Writer.Begin = [&To](const node_answer &Answer) {
       wire::AnswerPart Head;
       toWire(Answer, *Head.mutable_head());
-      return Stream.Write(Head);
+      return To.Write(Head);
     };
-    Writer.Write = [&Stream](std::span<const char> Piece) {
+    Writer.Write = [&To](std::span<const char> Piece) {
       wire::AnswerPart Part;
       Part.set_body(Piece.data(), Piece.size());
-      return Stream.Write(Part);
+      return To.Write(Part);
     };
     return Writer;
   }
@@ -196,6 +213,9 @@
   grpc::ServerBuilder Builder;
   int Port = 0;
   Builder.SetResourceQuota(Quota);
+  // Threads that wait for calls are kept; making one costs as much as a call.
+  Builder.SetSyncServerOption(grpc::ServerBuilder::MIN_POLLERS, MinPollers);
+  Builder.SetSyncServerOption(grpc::ServerBuilder::MAX_POLLERS, MaxPollers);
   Builder.AddChannelArgument(GRPC_ARG_HTTP2_BDP_PROBE, 0);
   Builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
   Builder.AddListeningPort(Address, grpc::InsecureServerCredentials(), &Port);
