--- a/src/core/roster.cpp
+++ b/src/core/roster.cpp
@@ -3,6 +3,8 @@
 #include "agatedale/roster.h"
 
 #include <algorithm>
+#include <map>
+#include <string>
 
 namespace agatedale {
 
@@ -38,6 +40,26 @@
          countVotes(Roster.Prior, Nobody, Ended, Now).Able == 0;
 }
 
+/// Returns the member that should become the next voter: one of the zone with
+/// the fewest voters, so that a lost zone takes no majority with it.
+const entry_vm *nextVoter(std::span<const entry_vm> Live,
+                          const std::vector<vm_id> &Voters) {
+  std::map<std::string, int> VotersInZone;
+  for (const entry_vm &Vm : Live)
+    VotersInZone[Vm.Zone] +=
+        static_cast<int>(std::count(Voters.begin(), Voters.end(), Vm.Id));
+  const entry_vm *Best = nullptr;
+  for (const entry_vm &Vm : Live) {
+    const bool IsVoter =
+        std::find(Voters.begin(), Voters.end(), Vm.Id) != Voters.end();
+    if (IsVoter || Vm.Leaving || !Vm.Ready)
+      continue;
+    if (!Best || VotersInZone[Vm.Zone] < VotersInZone[Best->Zone])
+      Best = &Vm;
+  }
+  return Best;
+}
+
 /// Returns the voters that the live members should be, keeping present ones.
 std::vector<vm_id> desiredVoters(const roster &Current,
                                  std::span<const entry_vm> Live,
@@ -47,12 +69,11 @@
     if (!Ended.certain(Voter, Now))
       Desired.push_back(Voter);
   }
-  for (const entry_vm &Vm : Live) {
-    const bool Known =
-        std::find(Desired.begin(), Desired.end(), Vm.Id) != Desired.end();
-    if (Desired.size() >= MaxVoters || Known || Vm.Leaving || !Vm.Ready)
-      continue;
-    Desired.push_back(Vm.Id);
+  while (Desired.size() < MaxVoters) {
+    const entry_vm *Next = nextVoter(Live, Desired);
+    if (!Next)
+      break;
+    Desired.push_back(Next->Id);
   }
   std::sort(Desired.begin(), Desired.end());
   return Desired;
--- a/tests/failures/request_failures.cpp
+++ b/tests/failures/request_failures.cpp
@@ -189,6 +189,40 @@
              "key-malformed");
 }
 
+BOOST_AUTO_TEST_CASE(BoundRequestIsServedAndKeptInItsHomeRegionOnly) {
+  process_fleet Fleet("home_region");
+  Fleet.startAll();
+  Fleet.startVm("south", 20, "c", "s");
+  const bool Ready = eventually(milliseconds(10'000), [&Fleet] {
+    return Fleet.call("vm1", "GET", "/status", "", "", "bound").Verdict ==
+           "answered";
+  });
+  BOOST_TEST(Ready, "expected the region's own entry VM to serve it");
+  // Fresh keys are refused for a moment after the partition's first takeover.
+  std::this_thread::sleep_for(milliseconds(3000));
+  const long Before = Fleet.runsInZone("c");
+  for (int I = 0; I < 10; ++I) {
+    const std::string Vm = "vm" + std::to_string(I % 4 + 1);
+    const std::string Key = freshKey();
+    const auto Order =
+        Fleet.call(Vm, "POST", "/orders", Key, "bound order", "bound");
+    BOOST_TEST(Order.Verdict == "answered", Order.Reason);
+    const auto Again =
+        Fleet.call("south", "POST", "/orders", Key, "bound order", "bound");
+    BOOST_TEST(Again.Body == Order.Body);
+  }
+  BOOST_TEST(Fleet.runsInZone("c") == Before + 10);
+  BOOST_TEST(Fleet.runsInZone("a") + Fleet.runsInZone("b") == 0);
+  for (const char *Vm : {"vm1", "vm2", "vm3", "vm4"})
+    BOOST_TEST(Fleet.recordsOf(Vm).find("id-bound") == std::string::npos,
+               Vm << " kept something of a request bound to region s");
+  Fleet.signal("south", SIGKILL);
+  const auto Refused =
+      Fleet.call("vm1", "POST", "/orders", freshKey(), "x", "bound");
+  BOOST_TEST(Refused.Verdict != "answered");
+  BOOST_TEST(Fleet.runsInZone("a") + Fleet.runsInZone("b") == 0);
+}
+
 BOOST_AUTO_TEST_CASE(OfTwoPublishesAtOnceOneWins) {
   process_fleet Fleet("two_publishes");
   Fleet.startAll();
--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -35,6 +35,13 @@
 constexpr int ServerCount = 8;
 const std::string Platform = "127.0.7.1";
 
+/// Eight servers stand in zones a and b, the ninth in zone c of region s.
+std::string zoneOf(int Server) {
+  if (Server > ServerCount)
+    return "c";
+  return Server % 2 ? "a" : "b";
+}
+
 std::string serverIp(int Number) { return fmt::format("127.0.8.{}", Number); }
 
 void httpPut(const std::string &Ip, std::uint16_t Port,
@@ -69,7 +76,10 @@
 
 void process_fleet::writeConfiguration() {
   std::ofstream File(configFolder() + "/10.toml");
-  File << "[regions.r]\n[zones.a]\nregion = \"r\"\n[zones.b]\nregion = "
+  File << "[regions.r]\n[regions.s]\n[zones.c]\nregion = \"s\"\n"
+          "[links.rs]\nfrom = \"r\"\nto = \"s\"\n"
+          "[accounts.bound]\nhomes = [\"s\"]\n"
+          "[zones.a]\nregion = \"r\"\n[zones.b]\nregion = "
           "\"r\"\n[services.orders]\nload_path = \"/load\"\n"
           "load_report_lag_ms = 200\n"
           "[routes.status]\npath_prefix = \"/status\"\nmethods = [\"GET\"]\n"
@@ -77,10 +87,10 @@
           "[routes.orders]\npath_prefix = \"/orders\"\nmethods = "
           "[\"POST\"]\nservice = \"orders\"\ntimeout_ms = 3000\nkey = "
           "\"required\"\nmax_body_bytes = 100000000\n[accounts.web]\n";
-  for (int I = 1; I <= ServerCount; ++I)
+  for (int I = 1; I <= ServerCount + 1; ++I)
     File << fmt::format("[servers.s{}]\nservice = \"orders\"\nzone = "
                         "\"{}\"\naddress = \"{}:{}\"\n",
-                        I, I % 2 ? "a" : "b", serverIp(I), BackendPort);
+                        I, zoneOf(I), serverIp(I), BackendPort);
 }
 
 void process_fleet::writeFleet() {
@@ -117,7 +127,7 @@
 
 void process_fleet::startBackends(const std::vector<std::string> &Options) {
   std::vector<std::string> Words{std::string(BIN_DIR) + "/standin-backend"};
-  for (int I = 1; I <= ServerCount; ++I) {
+  for (int I = 1; I <= ServerCount + 1; ++I) {
     Words.push_back("--server");
     Words.push_back(fmt::format("s{}={}:{}", I, serverIp(I), BackendPort));
   }
@@ -126,14 +136,16 @@
 }
 
 void process_fleet::startVm(const std::string &Name, int Number,
-                            const std::string &Zone) {
+                            const std::string &Zone,
+                            const std::string &Region) {
   const std::string Ip = fmt::format("127.0.6.{}", Number);
   const std::string File = Folder + "/" + Name + ".toml";
   std::ofstream(File) << fmt::format(
-      "vm = \"{}\"\nip = \"{}\"\nzone = \"{}\"\nregion = \"r\"\n"
+      "vm = \"{}\"\nip = \"{}\"\nzone = \"{}\"\nregion = \"{}\"\n"
       "caller_port = {}\nadmin_port = {}\npeer_port = {}\n"
       "platform_address = \"{}:{}\"\n",
-      Name, Ip, Zone, CallerPort, AdminPort, PeerPort, Platform, PlatformPort);
+      Name, Ip, Zone, Region, CallerPort, AdminPort, PeerPort, Platform,
+      PlatformPort);
   Ips[Name] = Ip;
   Listed[Name] = fmt::format("{} {} {} live", Name, Ip, Zone);
   writeFleet();
@@ -214,8 +226,8 @@
 
 long process_fleet::runsInZone(const std::string &Zone) {
   long Sum = 0;
-  for (int I = 1; I <= ServerCount; ++I)
-    Sum += (I % 2 == 1) == (Zone == "a") ? countOf(I, "runs") : 0;
+  for (int I = 1; I <= ServerCount + 1; ++I)
+    Sum += zoneOf(I) == Zone ? countOf(I, "runs") : 0;
   return Sum;
 }
 
@@ -288,17 +300,17 @@
   return Owners.empty() ? std::string() : Owners.front();
 }
 
-caller_answer process_fleet::call(const std::string &Vm,
-                                  const std::string &Method,
-                                  const std::string &Path,
-                                  const std::string &Key,
-                                  const std::string &Body) {
+caller_answer
+process_fleet::call(const std::string &Vm, const std::string &Method,
+                    const std::string &Path, const std::string &Key,
+                    const std::string &Body, const std::string &Account) {
   caller_answer Answer;
   try {
     Poco::Net::HTTPClientSession Session(Ips.at(Vm), CallerPort);
     Session.setTimeout(Poco::Timespan(5, 0));
     Poco::Net::HTTPRequest Request(Method, Path, "HTTP/1.1");
-    Request.set("Client-Account", "web");
+    Request.set("Client-Account", Account);
+    Request.set("X-Request-Id", "id-" + Account);
     if (!Key.empty())
       Request.set("Idempotency-Key", Key);
     if (Method == "POST")
@@ -316,6 +328,15 @@
   return Answer;
 }
 
+std::string process_fleet::recordsOf(const std::string &Vm) {
+  std::ifstream File(Folder + "/" + Vm + ".log");
+  std::ostringstream Text;
+  Text << File.rdbuf();
+  const auto Told =
+      httpGet(Ips.at(Vm), AdminPort, "/explain?subject=", milliseconds(2000));
+  return Text.str() + (errorOf(Told) ? "" : valueOf(Told));
+}
+
 std::string freshKey() {
   static std::mutex Lock;
   static std::mt19937_64 Random(std::random_device{}());
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -43,7 +43,8 @@
 
   void startPlatform();
   void startBackends(const std::vector<std::string> &Options = {});
-  void startVm(const std::string &Name, int Number, const std::string &Zone);
+  void startVm(const std::string &Name, int Number, const std::string &Zone,
+               const std::string &Region = "r");
 
   void signal(const std::string &Name, int Signal);
 
@@ -79,10 +80,14 @@
   /// Returns every VM that says it owns \p Subject.
   std::vector<std::string> ownersOf(const std::string &Subject);
 
-  /// Sends one request through a VM.
+  /// Sends one request of client account \p Account through a VM.
   caller_answer call(const std::string &Vm, const std::string &Method,
                      const std::string &Path, const std::string &Key = "",
-                     const std::string &Body = "");
+                     const std::string &Body = "",
+                     const std::string &Account = "web");
+
+  /// Returns everything that a VM logged, and what it would explain.
+  std::string recordsOf(const std::string &Vm);
 
   std::string ipOf(const std::string &Vm) const { return Ips.at(Vm); }
   std::vector<std::string> vms() const;
--- a/tests/unit/roster_test.cpp
+++ b/tests/unit/roster_test.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace agatedale;
 using std::chrono::milliseconds;
 
@@ -121,4 +123,26 @@
   BOOST_TEST(Next->Prior.empty());
 }
 
+BOOST_AUTO_TEST_CASE(VotersAreSpreadOverTheZones) {
+  departures Ended = departures::create(Lease);
+  const std::vector<std::string> All{"old"};
+  Ended.onVmList(All, Start);
+  Ended.onVmList({}, Start);
+  std::vector<entry_vm> Live;
+  for (int I = 1; I <= 12; ++I) {
+    entry_vm Vm = ready(id(I));
+    Vm.Zone = I <= 8 ? "a" : "b";
+    Live.push_back(Vm);
+  }
+  const auto Next =
+      nextRoster({1, {{"old", 1}}, {}}, Live, {}, Ended, Lease, Start + Lease);
+  BOOST_REQUIRE(Next.has_value());
+  BOOST_TEST(Next->Voters.size() == MaxVoters);
+  int InZoneB = 0;
+  for (const entry_vm &Vm : Live)
+    InZoneB += Vm.Zone == "b" &&
+               std::count(Next->Voters.begin(), Next->Voters.end(), Vm.Id);
+  BOOST_TEST(InZoneB >= 3, "expected 3 or 4 of 7 in zone b, got " << InZoneB);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
