--- a/tests/failures/request_failures.cpp
+++ b/tests/failures/request_failures.cpp
@@ -69,6 +69,7 @@
   for (int Round = 0; Round < 5; ++Round) {
     const std::string Key = freshKey();
     std::vector<std::future<caller_answer>> Calls;
+    Calls.reserve(12);
     for (int I = 0; I < 12; ++I)
       Calls.push_back(std::async(std::launch::async, [&Fleet, Key, I] {
         return Fleet.call("vm" + std::to_string(I % 4 + 1), "POST", "/orders",
--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -110,6 +110,7 @@
     ::dup2(File, STDERR_FILENO);
     ::dup2(File, STDOUT_FILENO);
     std::vector<char *> Arguments;
+    Arguments.reserve(Words.size() + 1);
     for (const std::string &Word : Words)
       Arguments.push_back(const_cast<char *>(Word.c_str()));
     Arguments.push_back(nullptr);
--- a/tools/policies_main.cpp
+++ b/tools/policies_main.cpp
@@ -523,7 +523,8 @@
 }
 
 std::vector<way> allWays() {
-  const auto Local = [](const std::string &Name, local_choice::chooser Choose) {
+  const auto Local = [](const std::string &Name,
+                        const local_choice::chooser &Choose) {
     return way{Name, [Choose](const scenario &Scenario) {
                  return std::make_unique<local_choice>(Scenario, Choose);
                }};
