--- a/include/agatedale/server_group.h
+++ b/include/agatedale/server_group.h
@@ -119,6 +119,9 @@
   /// A time-out shows a failing server only after this many typical times;
   /// before, it shows a request that began too late.
   int FailureFactor = 10;
+  /// A server that was not heard for this long counts as cold: it may have been
+  /// restarted unseen.
+  duration SilenceToCold = std::chrono::seconds(10);
   /// A broken-off attempt's slot stays taken this long after its deadline.
   duration CancelGrace = std::chrono::milliseconds(10);
 };
@@ -246,6 +249,7 @@
   void dispatch(time_point Now, std::vector<group_action> &Actions);
   void send(const work_item &Item, int Server, bool Hedge, time_point Now,
             std::vector<group_action> &Actions);
+  void coolSilentServers(time_point Now);
   bool startsTooLate(const work_item &Item, time_point Now) const;
   void expireQueue(time_point Now, std::vector<group_action> &Actions);
   void hedgeSlow(time_point Now, std::vector<group_action> &Actions);
--- a/src/core/server_group.cpp
+++ b/src/core/server_group.cpp
@@ -542,6 +542,15 @@
   }
 }
 
+void server_group::coolSilentServers(time_point Now) {
+  for (server_state &State : Servers) {
+    const bool Silent =
+        State.InFlight == 0 && Now - State.AnsweredAt >= Settings.SilenceToCold;
+    if (Silent && !State.Limit.isCold())
+      State.Limit.turnCold();
+  }
+}
+
 std::vector<group_action> server_group::tick(time_point Now) {
   std::vector<group_action> Actions;
   for (server_state &State : Servers) {
@@ -551,6 +560,7 @@
       return Attempt.Deadline + Settings.CancelGrace <= Now;
     });
   }
+  coolSilentServers(Now);
   expireQueue(Now, Actions);
   dispatch(Now, Actions);
   if (!HandedOver && Now < RightUntil)
--- a/src/node/backend_connection.cpp
+++ b/src/node/backend_connection.cpp
@@ -313,7 +313,7 @@
     const bool Closed = Connection->isStale();
     if (Age < IdleTime && !Closed)
       return Connection;
-    FoundClosed = FoundClosed || (Closed && Age < UsedLately);
+    FoundClosed = FoundClosed || Closed;
   }
   return nullptr;
 }
--- a/src/node/backend_connection.h
+++ b/src/node/backend_connection.h
@@ -58,8 +58,8 @@
 public:
   /// Returns an idle connection or opens one. A request that is not idempotent
   /// gets one that was alive within ProvenAlive, or a new one. \p FoundClosed
-  /// is set when the server has closed a connection that it used lately, as
-  /// one that was restarted has.
+  /// is set when the server has closed an idle connection, as one that was
+  /// restarted has.
   result<std::shared_ptr<backend_connection>> take(const std::string &Address,
                                                    bool Idempotent,
                                                    duration Timeout,
@@ -74,7 +74,6 @@
 
 private:
   static constexpr duration ProvenAlive = std::chrono::seconds(1);
-  static constexpr duration UsedLately = std::chrono::seconds(5);
   static constexpr duration IdleTime = std::chrono::seconds(30);
   static constexpr std::size_t MaxIdle = 8;
 
--- a/tests/unit/server_group_test.cpp
+++ b/tests/unit/server_group_test.cpp
@@ -222,6 +222,18 @@
   BOOST_TEST(Group.limitOf("s0", Start) == 1);
 }
 
+BOOST_AUTO_TEST_CASE(ServerNotHeardForLongCountsAsCold) {
+  server_group Group = group(1);
+  for (request_id Id = 1; Id <= 5; ++Id) {
+    const auto Sent = only<send_order>(Group.submit(item(Id), Start));
+    Group.finish(Sent[0].Attempt, attempt_outcome::Answered, Start);
+  }
+  Group.tick(Start + milliseconds(9999));
+  BOOST_TEST(Group.limitOf("s0", Start) == 2);
+  Group.tick(Start + milliseconds(10'000));
+  BOOST_TEST(Group.limitOf("s0", Start) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(RestartedServerIsGivenOneRequestAtATime) {
   server_group Group = group(1);
   for (request_id Id = 1; Id <= 5; ++Id) {
