Changed slots are in force at once; connections kept within the server's bound

Reading as a newcomer: a change of a service's slots or warm-up reached a group only with its next owner; max_connections was read and not used. Now both are taken over with the version, and each owner keeps at most a sixteenth of the bound idle. Tries at owners that change are spaced by 10 ms once every group was tried: 100 tries were spent within a millisecond. dispatch() is split, and diff and publish share how they read a change. A slow sender is tested.

--- a/include/agatedale/server_group.h
+++ b/include/agatedale/server_group.h
@@ -145,6 +145,9 @@
   void setRight(time_point Until) { RightUntil = Until; }
   time_point rightUntil() const { return RightUntil; }
 
+  /// Takes over what the operators changed about the service.
+  void reconfigure(const service &Service);
+
   /// Takes over a changed list of servers. New ones start cold; those gone or
   /// leaving get no new work and finish what they run.
   std::vector<group_action> setServers(std::span<const backend_server> Servers,
@@ -239,7 +242,7 @@
 
   server_group(const server_group_settings &Settings);
 
-  slot_limit newLimit() const;
+  slot_limit_settings limitSettings() const;
   int freeSlots(const server_state &State, time_point Now) const;
   int occupied(const server_state &State, time_point Now) const;
   double expectedMicros(const server_state &State, time_point Now) const;
--- a/include/agatedale/slot_limit.h
+++ b/include/agatedale/slot_limit.h
@@ -47,6 +47,9 @@
   /// Records an answer that says the server failed (status 5xx).
   void onErrorAnswer(time_point Now);
 
+  /// Takes over changed settings; a limit above the new slots is cut at once.
+  void reconfigure(const slot_limit_settings &NewSettings);
+
   /// Falls back to the limit of a server that was just started.
   void turnCold();
 
--- a/src/core/server_group.cpp
+++ b/src/core/server_group.cpp
@@ -122,11 +122,18 @@
   return Group;
 }
 
-slot_limit server_group::newLimit() const {
+slot_limit_settings server_group::limitSettings() const {
   slot_limit_settings Limit;
   Limit.Slots = Settings.Service.Slots;
   Limit.WarmUpAnswers = Settings.Service.WarmUpAnswers;
-  return slot_limit::create(Limit);
+  return Limit;
+}
+
+void server_group::reconfigure(const service &Service) {
+  Settings.Service = Service;
+  for (server_state &State : Servers)
+    State.Limit.reconfigure(limitSettings());
+  resizeQueue();
 }
 
 int server_group::findServer(std::string_view Name) const {
@@ -142,7 +149,7 @@
 }
 
 void server_group::addServer(const backend_server &Server, time_point Now) {
-  server_state Fresh(Server, newLimit());
+  server_state Fresh(Server, slot_limit::create(limitSettings()));
   for (server_state &State : Servers) {
     if (!State.Gone || occupied(State, Now) > 0)
       continue;
--- a/src/core/slot_limit.cpp
+++ b/src/core/slot_limit.cpp
@@ -48,6 +48,11 @@
   pause(Now);
 }
 
+void slot_limit::reconfigure(const slot_limit_settings &NewSettings) {
+  Settings = NewSettings;
+  Limit = std::min(Limit, Settings.Slots);
+}
+
 void slot_limit::turnCold() {
   Limit = 1;
   GoodInRow = 0;
--- a/src/node/backend_connection.h
+++ b/src/node/backend_connection.h
@@ -56,6 +56,9 @@
 ///   Pool.giveBack("127.0.0.1:9001", valueOf(Opened));
 class connection_pool {
 public:
+  /// Keeps at most \p MaxIdle idle connections to each server.
+  explicit connection_pool(std::size_t MaxIdle) : MaxIdle(MaxIdle) {}
+
   /// Returns an idle connection or opens one. A request that is not idempotent
   /// gets one that was alive within ProvenAlive, or a new one. \p FoundClosed
   /// is set when the server has closed an idle connection, as one that was
@@ -75,11 +78,11 @@
 private:
   static constexpr duration ProvenAlive = std::chrono::seconds(1);
   static constexpr duration IdleTime = std::chrono::seconds(30);
-  static constexpr std::size_t MaxIdle = 8;
 
   std::shared_ptr<backend_connection>
   takeIdle(const std::string &Address, bool Idempotent, bool &FoundClosed);
 
+  std::size_t MaxIdle;
   std::mutex Lock;
   std::map<std::string, std::vector<std::shared_ptr<backend_connection>>> Idle;
 };
--- a/src/node/group_shard.cpp
+++ b/src/node/group_shard.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace agatedale {
 
 namespace {
@@ -12,6 +14,11 @@
 /// How much longer than a deadline a thread waits for the group's decision.
 constexpr duration DecisionSlack = std::chrono::milliseconds(50);
 
+/// Entry VMs that may have owned a group within the idle time of connections.
+/// Each keeps so few that a server's bound on connections holds for all.
+constexpr int LateOwners = 16;
+constexpr int MaxIdleConnections = 8;
+
 } // namespace
 
 result<std::shared_ptr<group_shard>>
@@ -21,8 +28,8 @@
   result<server_group> Group = server_group::create(Settings, Spec.Servers);
   if (const error *Error = errorOf(Group))
     return *Error;
-  return std::shared_ptr<group_shard>(
-      new group_shard(Spec, takeValue(std::move(Group)), Context));
+  return std::shared_ptr<group_shard>(new group_shard(
+      Spec, takeValue(std::move(Group)), Settings.Service, Context));
 }
 
 work_item group_shard::itemOf(const node_request &Request,
@@ -253,9 +260,16 @@
   apply(Group.tick(monotonicNow()));
 }
 
-void group_shard::setServers(std::span<const backend_server> Servers,
-                             bool ZoneIn) {
+std::size_t group_shard::idleConnections(const service &Service) {
+  return static_cast<std::size_t>(
+      std::clamp(Service.MaxConnections / LateOwners, 1, MaxIdleConnections));
+}
+
+void group_shard::reconfigure(const service &Service,
+                              std::span<const backend_server> Servers,
+                              bool ZoneIn) {
   const std::lock_guard Guard(Lock);
+  Group.reconfigure(Service);
   apply(Group.setServers(Servers, ZoneIn, monotonicNow()));
 }
 
--- a/src/node/group_shard.h
+++ b/src/node/group_shard.h
@@ -45,7 +45,9 @@
   node_answer serve(const node_request &Request, const answer_writer &Writer);
 
   void setRight(time_point Until);
-  void setServers(std::span<const backend_server> Servers, bool ZoneIn);
+  /// Takes over a newer configuration of the service and its servers.
+  void reconfigure(const service &Service,
+                   std::span<const backend_server> Servers, bool ZoneIn);
   void assumeOccupied(time_point Until);
   void inherit(std::span<const inherited_attempt> Attempts);
   void inheritedDone(const std::string &Server, attempt_id Attempt);
@@ -82,8 +84,11 @@
   };
 
   group_shard(const server_group_spec &Spec, server_group Group,
-              const shard_context &Context)
-      : Id(Spec.Id), Context(Context), Group(std::move(Group)) {}
+              const service &Service, const shard_context &Context)
+      : Id(Spec.Id), Context(Context), Connections(idleConnections(Service)),
+        Group(std::move(Group)) {}
+
+  static std::size_t idleConnections(const service &Service);
 
   work_item itemOf(const node_request &Request, request_id Id) const;
   void apply(const std::vector<group_action> &Actions);
--- a/src/node/owned_subjects.cpp
+++ b/src/node/owned_subjects.cpp
@@ -111,7 +111,8 @@
     Shard->assumeOccupied(Now + longestTimeout(Id.Service) +
                           GroupSettings.CancelGrace);
   }
-  Shard->setServers(Spec->Servers, View->Configuration->zoneIsIn(Id.Zone));
+  Shard->reconfigure(GroupSettings.Service, Spec->Servers,
+                     View->Configuration->zoneIsIn(Id.Zone));
   Shard->setRight(Until);
   Groups.emplace(Subject, Shard);
   Context.Events.add(
@@ -307,11 +308,12 @@
   const std::lock_guard Guard(Lock);
   for (const auto &[Subject, Shard] : Groups) {
     const server_group_spec *Spec = Configuration.findGroup(Shard->id());
-    if (Spec)
-      Shard->setServers(Spec->Servers,
-                        Configuration.zoneIsIn(Shard->id().Zone));
+    const auto Service = Configuration.services().find(Shard->id().Service);
+    if (Spec && Service != Configuration.services().end())
+      Shard->reconfigure(Service->second, Spec->Servers,
+                         Configuration.zoneIsIn(Shard->id().Zone));
     else
-      Shard->setServers({}, false);
+      Shard->reconfigure(service{}, {}, false);
   }
 }
 
--- a/src/node/request_path.cpp
+++ b/src/node/request_path.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 /// Owners tried for one request.
-constexpr int MaxTries = 100;
+constexpr std::size_t MaxTries = 300;
 
 /// A wait between tries when no owner was to be had.
 constexpr duration RetryWait = std::chrono::milliseconds(10);
@@ -420,6 +420,43 @@
   return Budget.spend();
 }
 
+std::vector<group_id>
+request_path::usableGroups(const routing_view &Seen,
+                           const std::string &Service) const {
+  std::vector<group_id> Groups;
+  const configuration &Configuration = *Seen.Configuration;
+  for (const server_group_spec &Spec : Configuration.groups()) {
+    const bool Usable =
+        Spec.Id.Service == Service &&
+        Configuration.regionOf(Spec.Id.Zone) == Settings.Region &&
+        Configuration.zoneIsIn(Spec.Id.Zone);
+    if (Usable)
+      Groups.push_back(Spec.Id);
+  }
+  return Groups;
+}
+
+group_id request_path::chooseGroup(const std::vector<group_id> &Groups,
+                                   const std::optional<group_id> &Except) {
+  const std::lock_guard Guard(ChoiceLock);
+  const std::optional<group_id> Chosen = Choice.choose(
+      Groups, Settings.Zone, monotonicNow(), Except ? &*Except : nullptr);
+  const group_id Group = Chosen.value_or(Groups.front());
+  Choice.onSent(Group);
+  return Group;
+}
+
+void request_path::noteAnswer(const group_id &Group,
+                              const node_answer &Answer) {
+  const std::lock_guard Guard(ChoiceLock);
+  Choice.onAnswered(Group);
+  if (Answer.Load)
+    Choice.onLoad(Group, *Answer.Load, monotonicNow());
+  if (isOwnerTrouble(Answer.Reason))
+    Choice.onSilent(Group, monotonicNow(),
+                    Answer.Reason == refusal_reason::OwnerLost);
+}
+
 node_answer request_path::dispatch(const node_request &Request,
                                    const std::string &Service,
                                    const answer_writer &Writer) {
@@ -435,53 +472,29 @@
       return Request.Reader(Buffer);
     };
   bool MayHaveRun = false;
-  bool AnyZone = false;
   node_answer Answer = refusalOf(refusal_reason::NoOwner, verdict::NotRun);
   std::optional<group_id> Last;
-  for (int Try = 0; Try < MaxTries && monotonicNow() < Request.Deadline;
-       ++Try) {
+  std::size_t Tries = 0;
+  while (Tries < MaxTries && monotonicNow() < Request.Deadline) {
     const auto Seen = view();
-    std::vector<group_id> Groups;
-    for (const server_group_spec &Spec : Seen->Configuration->groups()) {
-      const bool Usable =
-          Spec.Id.Service == Service &&
-          Seen->Configuration->regionOf(Spec.Id.Zone) == Settings.Region &&
-          Seen->Configuration->zoneIsIn(Spec.Id.Zone);
-      if (Usable)
-        Groups.push_back(Spec.Id);
-    }
-    AnyZone = AnyZone || !Groups.empty();
-    std::optional<group_id> Group;
-    {
-      const std::lock_guard Guard(ChoiceLock);
-      Group = Choice.choose(Groups, Settings.Zone, monotonicNow(),
-                            Last ? &*Last : nullptr);
-      if (Group)
-        Choice.onSent(*Group);
+    const std::vector<group_id> Groups = usableGroups(*Seen, Service);
+    if (Groups.empty()) {
+      Answer = refusalOf(refusal_reason::NoServer, verdict::NotRun);
+      break;
     }
-    Last.reset();
-    if (!Group) {
+    // Every group was tried: their owners are changing, which takes a while.
+    if (Tries >= Groups.size())
       std::this_thread::sleep_for(RetryWait);
-      continue;
-    }
-    Answer = dispatchOnce(Sent, *Group, *Seen, Writer);
-    {
-      const std::lock_guard Guard(ChoiceLock);
-      Choice.onAnswered(*Group);
-      if (Answer.Load)
-        Choice.onLoad(*Group, *Answer.Load, monotonicNow());
-      if (isOwnerTrouble(Answer.Reason))
-        Choice.onSilent(*Group, monotonicNow(),
-                        Answer.Reason == refusal_reason::OwnerLost);
-    }
+    const group_id Group = chooseGroup(Groups, Last);
+    Answer = dispatchOnce(Sent, Group, *Seen, Writer);
+    noteAnswer(Group, Answer);
     MayHaveRun = MayHaveRun || Answer.Verdict == verdict::MayHaveRun;
     if (!mayTryAgain(Answer, Request, BodyUsed))
       break;
     Metrics.count("agatedale_owner_retries_total", label("service", Service));
-    Last = *Group;
+    Last = Group;
+    ++Tries;
   }
-  if (!AnyZone)
-    Answer = refusalOf(refusal_reason::NoServer, verdict::NotRun);
   if (MayHaveRun && Answer.Verdict == verdict::NotRun)
     Answer.Verdict = verdict::MayHaveRun;
   return Answer;
--- a/src/node/request_path.h
+++ b/src/node/request_path.h
@@ -76,6 +76,11 @@
   node_answer serveKeyed(routed_request &Routed, const answer_writer &Writer);
   node_answer dispatch(const node_request &Request, const std::string &Service,
                        const answer_writer &Writer);
+  std::vector<group_id> usableGroups(const routing_view &Seen,
+                                     const std::string &Service) const;
+  group_id chooseGroup(const std::vector<group_id> &Groups,
+                       const std::optional<group_id> &Except);
+  void noteAnswer(const group_id &Group, const node_answer &Answer);
   node_answer dispatchOnce(const node_request &Request, const group_id &Group,
                            const routing_view &View,
                            const answer_writer &Writer);
--- a/tests/failures/request_failures.cpp
+++ b/tests/failures/request_failures.cpp
@@ -23,11 +23,12 @@
 
 /// Sends raw bytes to a VM's caller port and returns the start of the answer.
 std::string sendRaw(const std::string &Ip, const std::string &Bytes,
-                    bool CloseAfter = false) {
+                    bool CloseAfter = false,
+                    milliseconds Patience = milliseconds(500)) {
   try {
     Poco::Net::StreamSocket Socket;
     Socket.connect(Poco::Net::SocketAddress(Ip, 18080), Poco::Timespan(2, 0));
-    Socket.setReceiveTimeout(Poco::Timespan(0, 500'000));
+    Socket.setReceiveTimeout(Poco::Timespan(Patience.count() * 1000));
     Socket.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
     if (CloseAfter)
       return {};
@@ -175,6 +176,13 @@
           "POST /orders HTTP/1.1\r\nClient-Account: web\r\n"
           "Content-Length: 50\r\n\r\nhalf",
           true);
+  const std::string Slow = sendRaw(
+      Ip,
+      "POST /orders HTTP/1.1\r\nClient-Account: web\r\nIdempotency-Key: " +
+          freshKey() + "\r\nContent-Length: 50\r\n\r\nhalf",
+      false, milliseconds(6000));
+  BOOST_TEST(Slow.find("body-incomplete") != std::string::npos,
+             "expected a slow sender to be told so, got: " << Slow);
   std::mt19937_64 Random(3);
   for (int I = 0; I < 200; ++I) {
     std::string Bytes = "GET /status HTTP/1.1\r\nClient-Account: web\r\n\r\n";
--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -232,8 +232,8 @@
   return Sum;
 }
 
-int process_fleet::runsOf(const std::string &Key) {
-  int Runs = 0;
+std::map<std::string, int> process_fleet::runsByKey() {
+  std::map<std::string, int> Runs;
   for (int I = 1; I <= ServerCount; ++I) {
     const auto Text =
         httpGet(serverIp(I), BackendPort, "/keys", milliseconds(2000));
@@ -243,11 +243,13 @@
     std::string Name;
     int Count = 0;
     while (Lines >> Name >> Count)
-      Runs += Name == Key ? Count : 0;
+      Runs[Name] += Count;
   }
   return Runs;
 }
 
+int process_fleet::runsOf(const std::string &Key) { return runsByKey()[Key]; }
+
 std::pair<int, std::string>
 process_fleet::ctl(const std::vector<std::string> &Arguments) {
   std::string Command =
@@ -440,18 +442,7 @@
 
 std::vector<std::string> background_load::wrongKeys() {
   stop();
-  std::map<std::string, int> Runs;
-  for (int I = 1; I <= ServerCount; ++I) {
-    const auto Text =
-        httpGet(serverIp(I), BackendPort, "/keys", milliseconds(2000));
-    if (errorOf(Text))
-      continue;
-    std::istringstream Lines(valueOf(Text));
-    std::string Name;
-    int Count = 0;
-    while (Lines >> Name >> Count)
-      Runs[Name] += Count;
-  }
+  std::map<std::string, int> Runs = Fleet.runsByKey();
   std::vector<std::string> Wrong;
   for (const auto &[Key, Verdict] : Keys) {
     const int Count = Runs[Key];
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -68,6 +68,9 @@
 
   pid_t pidOf(const std::string &Name) const { return Processes.at(Name); }
 
+  /// Returns how often the backend servers of region r ran each key.
+  std::map<std::string, int> runsByKey();
+
   /// Returns how often the backend servers ran \p Key.
   int runsOf(const std::string &Key);
 
--- a/tests/unit/server_group_test.cpp
+++ b/tests/unit/server_group_test.cpp
@@ -245,6 +245,18 @@
   BOOST_TEST(Group.limitOf("s0", Start) == 1);
 }
 
+BOOST_AUTO_TEST_CASE(FewerSlotsAreInForceAtOnce) {
+  server_group Group = group(1);
+  for (request_id Id = 1; Id <= 5; ++Id) {
+    const auto Sent = only<send_order>(Group.submit(item(Id), Start));
+    Group.finish(Sent[0].Attempt, attempt_outcome::Answered, Start);
+  }
+  service Service;
+  Service.Slots = 1;
+  Group.reconfigure(Service);
+  BOOST_TEST(Group.limitOf("s0", Start) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(ZoneTakenOutRefusesNewWorkAndReturnsCold) {
   server_group Group = group(1);
   Group.setServers(servers(1), false, Start);
--- a/tools/ctl_main.cpp
+++ b/tools/ctl_main.cpp
@@ -74,7 +74,15 @@
   int metrics();
 
 private:
+  /// A folder to publish and the version that it would replace.
+  struct change {
+    configuration Current;
+    configuration Next;
+    std::uint64_t Version = 0;
+  };
+
   int fail(const error &Error) const;
+  result<change> readChange(platform_client &Service) const;
   int tell(const Object &Json, const std::string &Text) const;
   result<platform_client> platform() const;
   result<std::vector<listed_vm>> listVms() const;
@@ -168,54 +176,56 @@
                           Config.accounts().size()));
 }
 
-int command::diff() {
+/// Reads the folder that the command names, and what publishing it would
+/// replace. Zones that are out stay out.
+result<command::change> command::readChange(platform_client &Service) const {
   if (Arguments.size() != 1)
-    return fail({error_kind::InvalidInput, "diff takes one FOLDER"});
+    return error{error_kind::InvalidInput, "expected one FOLDER"};
   const auto Loaded = configuration::fromFolder(Arguments[0]);
   if (const error *Error = errorOf(Loaded))
-    return fail(*Error);
+    return *Error;
+  auto Current = readCurrent(Service);
+  if (const error *Error = errorOf(Current))
+    return *Error;
+  auto Next = valueOf(Loaded).withZoneStatesOf(valueOf(Current).first);
+  if (const error *Error = errorOf(Next))
+    return *Error;
+  return change{std::move(valueOf(Current).first), takeValue(std::move(Next)),
+                valueOf(Current).second};
+}
+
+int command::diff() {
   auto Service = platform();
   if (const error *Error = errorOf(Service))
     return fail(*Error);
-  const auto Current = readCurrent(valueOf(Service));
-  if (const error *Error = errorOf(Current))
-    return fail(*Error);
-  const auto Next = valueOf(Loaded).withZoneStatesOf(valueOf(Current).first);
-  if (const error *Error = errorOf(Next))
+  const auto Change = readChange(valueOf(Service));
+  if (const error *Error = errorOf(Change))
     return fail(*Error);
-  const std::vector<std::string> Changes = diffDocuments(
-      valueOf(Current).first.toDocument(), valueOf(Next).toDocument());
-  Array::Ptr Lines = new Array;
-  for (const std::string &Change : Changes)
-    Lines->add(Change);
+  const auto &[Current, Next, Version] = valueOf(Change);
+  const std::vector<std::string> Lines =
+      diffDocuments(Current.toDocument(), Next.toDocument());
+  Array::Ptr All = new Array;
+  for (const std::string &Line : Lines)
+    All->add(Line);
   Object Json;
-  Json.set("against_version", valueOf(Current).second);
-  Json.set("changes", Lines);
-  tell(Json, Changes.empty() ? fmt::format("no difference to version {}",
-                                           valueOf(Current).second)
-                             : fmt::format("{}", fmt::join(Changes, "\n")));
-  return Changes.empty() ? ExitOk : ExitDiffers;
+  Json.set("against_version", Version);
+  Json.set("changes", All);
+  tell(Json, Lines.empty() ? fmt::format("no difference to version {}", Version)
+                           : fmt::format("{}", fmt::join(Lines, "\n")));
+  return Lines.empty() ? ExitOk : ExitDiffers;
 }
 
 int command::publish() {
-  if (Arguments.size() != 1)
-    return fail({error_kind::InvalidInput, "publish takes one FOLDER"});
-  const auto Loaded = configuration::fromFolder(Arguments[0]);
-  if (const error *Error = errorOf(Loaded))
-    return fail(*Error);
   auto Service = platform();
   if (const error *Error = errorOf(Service))
     return fail(*Error);
-  const auto Current = readCurrent(valueOf(Service));
-  if (const error *Error = errorOf(Current))
-    return fail(*Error);
-  const auto Next = valueOf(Loaded).withZoneStatesOf(valueOf(Current).first);
-  if (const error *Error = errorOf(Next))
+  const auto Change = readChange(valueOf(Service));
+  if (const error *Error = errorOf(Change))
     return fail(*Error);
   const std::uint64_t Base = Options.count("base")
                                  ? Options["base"].as<std::uint64_t>()
-                                 : valueOf(Current).second;
-  return publishConfiguration(valueOf(Service), valueOf(Next), Base);
+                                 : valueOf(Change).Version;
+  return publishConfiguration(valueOf(Service), valueOf(Change).Next, Base);
 }
 
 int command::zone() {
