--- a/src/node/request_path.cpp
+++ b/src/node/request_path.cpp
@@ -441,7 +441,7 @@
   const std::lock_guard Guard(ChoiceLock);
   const std::optional<group_id> Chosen = Choice.choose(
       Groups, Settings.Zone, monotonicNow(), Except ? &*Except : nullptr);
-  const group_id Group = Chosen.value_or(Groups.front());
+  group_id Group = Chosen.value_or(Groups.front());
   Choice.onSent(Group);
   return Group;
 }
