--- a/include/agatedale/server_group.h
+++ b/include/agatedale/server_group.h
@@ -243,6 +243,7 @@
   server_group(const server_group_settings &Settings);
 
   slot_limit_settings limitSettings() const;
+  bool isClosed(const server_state &State, time_point Now) const;
   int freeSlots(const server_state &State, time_point Now) const;
   int occupied(const server_state &State, time_point Now) const;
   double expectedMicros(const server_state &State, time_point Now) const;
--- a/src/core/server_group_servers.cpp
+++ b/src/core/server_group_servers.cpp
@@ -118,10 +118,13 @@
   return Taken;
 }
 
+bool server_group::isClosed(const server_state &State, time_point Now) const {
+  return State.Gone || State.Server.Leaving || !ZoneIn ||
+         Now < State.DrainingUntil;
+}
+
 int server_group::freeSlots(const server_state &State, time_point Now) const {
-  const bool Closed = State.Gone || State.Server.Leaving || !ZoneIn ||
-                      Now < State.DrainingUntil;
-  if (Closed)
+  if (isClosed(State, Now))
     return 0;
   return std::max(0, State.Limit.allowed(Now) - occupied(State, Now));
 }
@@ -155,9 +158,7 @@
 int server_group::totalLimit(time_point Now) const {
   int Total = 0;
   for (const server_state &State : Servers) {
-    const bool Closed = State.Gone || State.Server.Leaving || !ZoneIn ||
-                        Now < State.DrainingUntil;
-    Total += Closed ? 0 : State.Limit.allowed(Now);
+    Total += isClosed(State, Now) ? 0 : State.Limit.allowed(Now);
   }
   return Total;
 }
--- a/standins/load_main.cpp
+++ b/standins/load_main.cpp
@@ -10,6 +10,7 @@
 #include "agatedale/key_table.h"
 #include "agatedale/metrics.h"
 #include "agatedale/verdict.h"
+#include "fresh_key.h"
 
 #include <Poco/Net/NetException.h>
 
@@ -140,16 +141,6 @@
   std::uint64_t Sendings = 0;
 };
 
-std::string makeKey(std::mt19937_64 &Random) {
-  const auto Millis = std::chrono::duration_cast<milliseconds>(
-                          std::chrono::system_clock::now().time_since_epoch())
-                          .count();
-  const std::string Time = fmt::format("{:012x}", Millis);
-  return fmt::format("{}-{}-7{:03x}-{:04x}-{:012x}", Time.substr(0, 8),
-                     Time.substr(8), Random() & 0xfff,
-                     0x8000 | (Random() & 0x3fff), Random() & 0xffffffffffff);
-}
-
 /// One caller: sends requests over kept connections, one at a time.
 class caller {
 public:
@@ -162,7 +153,7 @@
     const load_class &Class = *Arrival.Class;
     const std::string &Account =
         Class.Accounts[Arrival.Number % Class.Accounts.size()];
-    const std::string Key = Class.Keyed ? makeKey(Random) : "";
+    const std::string Key = Class.Keyed ? makeFreshKey(Random) : "";
     const std::string Check = fmt::format("{}-{}", Class.Name, Arrival.Number);
     key_history History;
     sending Last;
--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Processes, settings and calls for tests of failures.
 #include "process_fleet.h"
+#include "../../standins/fresh_key.h"
 
 #include <Poco/JSON/Array.h>
 
@@ -344,13 +345,7 @@
   static std::mutex Lock;
   static std::mt19937_64 Random(std::random_device{}());
   const std::lock_guard Guard(Lock);
-  const auto Millis = std::chrono::duration_cast<milliseconds>(
-                          std::chrono::system_clock::now().time_since_epoch())
-                          .count();
-  const std::string Time = fmt::format("{:012x}", Millis);
-  return fmt::format("{}-{}-7{:03x}-{:04x}-{:012x}", Time.substr(0, 8),
-                     Time.substr(8), Random() & 0xfff,
-                     0x8000 | (Random() & 0x3fff), Random() & 0xffffffffffff);
+  return makeFreshKey(Random);
 }
 
 bool eventually(milliseconds Limit, const std::function<bool()> &Condition) {
--- a/tests/unit/server_group_test.cpp
+++ b/tests/unit/server_group_test.cpp
@@ -55,6 +55,14 @@
   return Found;
 }
 
+/// Lets a group's only server answer five requests, each after \p Service.
+void warmUp(server_group &Group, milliseconds Service) {
+  for (request_id Id = 1; Id <= 5; ++Id) {
+    const auto Sent = only<send_order>(Group.submit(item(Id), Start));
+    Group.finish(Sent[0].Attempt, attempt_outcome::Answered, Start + Service);
+  }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(ColdServerIsSentOneRequestAndTheRestWaits) {
@@ -174,11 +182,7 @@
 
 BOOST_AUTO_TEST_CASE(TimeOutOfARequestThatBeganLateIsNoServerFailure) {
   server_group Group = group(1);
-  for (request_id Id = 1; Id <= 5; ++Id) {
-    const auto Sent = only<send_order>(Group.submit(item(Id), Start));
-    Group.finish(Sent[0].Attempt, attempt_outcome::Answered,
-                 Start + milliseconds(20));
-  }
+  warmUp(Group, milliseconds(20));
   const auto Sent = only<send_order>(Group.submit(item(9, true, 30), Start));
   Group.finish(Sent[0].Attempt, attempt_outcome::TimedOut,
                Start + milliseconds(30));
@@ -209,11 +213,7 @@
 
 BOOST_AUTO_TEST_CASE(ReturnedServerStartsCold) {
   server_group Group = group(1);
-  for (request_id Id = 1; Id <= 5; ++Id) {
-    const auto Sent = only<send_order>(Group.submit(item(Id), Start));
-    Group.finish(Sent[0].Attempt, attempt_outcome::Answered,
-                 Start + milliseconds(1));
-  }
+  warmUp(Group, milliseconds(1));
   BOOST_TEST(Group.limitOf("s0", Start) == 2);
   auto Servers = servers(1);
   Servers[0].Leaving = true;
@@ -224,10 +224,7 @@
 
 BOOST_AUTO_TEST_CASE(ServerNotHeardForLongCountsAsCold) {
   server_group Group = group(1);
-  for (request_id Id = 1; Id <= 5; ++Id) {
-    const auto Sent = only<send_order>(Group.submit(item(Id), Start));
-    Group.finish(Sent[0].Attempt, attempt_outcome::Answered, Start);
-  }
+  warmUp(Group, milliseconds(0));
   Group.tick(Start + milliseconds(9999));
   BOOST_TEST(Group.limitOf("s0", Start) == 2);
   Group.tick(Start + milliseconds(10'000));
@@ -236,21 +233,14 @@
 
 BOOST_AUTO_TEST_CASE(RestartedServerIsGivenOneRequestAtATime) {
   server_group Group = group(1);
-  for (request_id Id = 1; Id <= 5; ++Id) {
-    const auto Sent = only<send_order>(Group.submit(item(Id), Start));
-    Group.finish(Sent[0].Attempt, attempt_outcome::Answered,
-                 Start + milliseconds(1));
-  }
+  warmUp(Group, milliseconds(1));
   Group.onRestart("s0");
   BOOST_TEST(Group.limitOf("s0", Start) == 1);
 }
 
 BOOST_AUTO_TEST_CASE(FewerSlotsAreInForceAtOnce) {
   server_group Group = group(1);
-  for (request_id Id = 1; Id <= 5; ++Id) {
-    const auto Sent = only<send_order>(Group.submit(item(Id), Start));
-    Group.finish(Sent[0].Attempt, attempt_outcome::Answered, Start);
-  }
+  warmUp(Group, milliseconds(0));
   service Service;
   Service.Slots = 1;
   Group.reconfigure(Service);
