A hand-over passes on slots that are only assumed taken

Cause, found by reading: an owner that took over after a crash holds slots as taken until a report or the last deadline; when it handed the group over in that time, its table named only its own attempts, and the next owner counted those slots as free. Test: failed before (the next owner sent at once), passes after. Cost: the next owner keeps them taken to the last deadline, for it does not ask for reports of slots that it inherited.

--- a/src/core/server_group.cpp
+++ b/src/core/server_group.cpp
@@ -284,6 +284,9 @@
       InFlight.push_back(Inherited);
     for (const time_point End : State.Lingering)
       InFlight.push_back({State.Server.Name, 0, End});
+    // What this owner could not vouch for, the next one cannot either.
+    for (int I = 0; I < State.Assumed; ++I)
+      InFlight.push_back({State.Server.Name, 0, State.AssumedUntil});
   }
   return Actions;
 }
--- a/tests/unit/server_group_test.cpp
+++ b/tests/unit/server_group_test.cpp
@@ -293,6 +293,18 @@
   BOOST_TEST(InFlight[0].Attempt == Sent[0].Attempt);
 }
 
+BOOST_AUTO_TEST_CASE(HandOverPassesOnSlotsThatAreOnlyAssumedTaken) {
+  server_group Old = group(1);
+  Old.assumeOccupied(Start + milliseconds(500));
+  std::vector<inherited_attempt> InFlight;
+  Old.handOver(InFlight);
+  server_group New = group(1);
+  for (const inherited_attempt &Attempt : InFlight)
+    New.inherit(Attempt);
+  BOOST_TEST(only<send_order>(New.submit(item(1), Start)).empty(),
+             "expected nothing to be sent to slots nobody can vouch for");
+}
+
 BOOST_AUTO_TEST_CASE(TimedOutAttemptHoldsItsSlotUntilItsDeadlineHasPassed) {
   server_group Group = group(1);
   const auto Sent = only<send_order>(Group.submit(item(1, false, 100), Start));
