Remove what nothing calls; look at the configuration once for a gained group

Reading the whole change again: control::askNow, hasAssumedWork, lastHeardAny and latency_histogram::merge had no callers. Gaining a group built two whole routing views under the lock of all shards, for one service and its longest timeout; it now takes the configuration.

--- a/include/agatedale/entry_vm.h
+++ b/include/agatedale/entry_vm.h
@@ -69,9 +69,6 @@
   /// Returns the member named \p Name in its latest life, heard lately or not.
   std::optional<entry_vm> findByName(std::string_view Name) const;
 
-  /// Returns when some other member was last heard; the epoch when none was.
-  time_point lastHeardAny() const { return LastAny; }
-
   const entry_vm &self() const { return Self; }
 
   /// Returns the member that should own \p Subject: the highest rendezvous
@@ -95,7 +92,6 @@
   entry_vm Self;
   duration HeartbeatTimeout;
   std::map<std::string, member, std::less<>> Members;
-  time_point LastAny{};
 };
 
 /// Knows which lives of entry VMs have certainly ended, and for how long.
--- a/include/agatedale/metrics.h
+++ b/include/agatedale/metrics.h
@@ -24,9 +24,6 @@
   /// Adds one duration.
   void record(duration Length);
 
-  /// Adds everything that \p Other recorded.
-  void merge(const latency_histogram &Other);
-
   /// Returns the upper end of the bucket that holds \p Share of the records.
   duration quantile(double Share) const;
 
--- a/include/agatedale/server_group.h
+++ b/include/agatedale/server_group.h
@@ -195,9 +195,6 @@
   group_load load(time_point Now) const;
   const group_counters &counters() const { return Counters; }
 
-  /// Returns true if some server may be holding work of a former owner.
-  bool hasAssumedWork(time_point Now) const;
-
   /// Returns the names of servers whose slots are assumed taken at \p Now.
   std::vector<std::string> assumedServers(time_point Now) const;
 
--- a/src/core/entry_vm.cpp
+++ b/src/core/entry_vm.cpp
@@ -32,7 +32,6 @@
   if (IsOldLife)
     return;
   Member->second = {Vm, Now};
-  LastAny = Now;
 }
 
 void member_view::setSelf(bool Ready, bool Leaving) {
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -62,13 +62,6 @@
   Sum += Length;
 }
 
-void latency_histogram::merge(const latency_histogram &Other) {
-  for (std::size_t I = 0; I < BucketCount; ++I)
-    Buckets.at(I) += Other.Buckets.at(I);
-  Count += Other.Count;
-  Sum += Other.Sum;
-}
-
 duration latency_histogram::quantile(double Share) const {
   const double Wanted = Share * static_cast<double>(Count);
   std::uint64_t Seen = 0;
--- a/src/core/server_group_servers.cpp
+++ b/src/core/server_group_servers.cpp
@@ -303,10 +303,6 @@
   return Names;
 }
 
-bool server_group::hasAssumedWork(time_point Now) const {
-  return !assumedServers(Now).empty();
-}
-
 int server_group::inFlightAt(std::string_view Server) const {
   const int Index = findServer(Server);
   return Index < 0 ? 0 : Servers[static_cast<std::size_t>(Index)].InFlight;
--- a/src/node/control.cpp
+++ b/src/node/control.cpp
@@ -364,11 +364,6 @@
   return Rights;
 }
 
-void control::askNow(time_point Now) {
-  const std::lock_guard Guard(Lock);
-  Holder.askNow(Now);
-}
-
 std::optional<entry_vm> control::peerWithNewer(time_point Now) const {
   const std::lock_guard Guard(Lock);
   for (const entry_vm &Vm : Members.live(Now)) {
@@ -444,6 +439,11 @@
   return All;
 }
 
+std::shared_ptr<const configuration> control::currentConfiguration() const {
+  const std::lock_guard Guard(Lock);
+  return Configuration.current();
+}
+
 std::uint64_t control::version() const {
   const std::lock_guard Guard(Lock);
   return Configuration.version();
--- a/src/node/control.h
+++ b/src/node/control.h
@@ -108,9 +108,6 @@
   /// \p Now when it is not.
   std::map<lease_subject, time_point> ownership(time_point Now) const;
 
-  /// Asks the voters at the next dueExchanges().
-  void askNow(time_point Now);
-
   /// Returns the peer to fetch a newer configuration from, if one has it.
   std::optional<entry_vm> peerWithNewer(time_point Now) const;
 
@@ -121,6 +118,8 @@
   void setRefusing();
   std::shared_ptr<const routing_view> makeView(time_point Now);
   std::vector<member_status> members(time_point Now) const;
+  /// Returns the configuration in force, or null.
+  std::shared_ptr<const configuration> currentConfiguration() const;
   std::uint64_t version() const;
   published_configuration published() const;
   std::optional<entry_vm> findMember(std::string_view Name) const;
--- a/src/node/owned_subjects.cpp
+++ b/src/node/owned_subjects.cpp
@@ -18,6 +18,17 @@
 /// Copies kept for one partition; what is beyond is answered by timestamp.
 constexpr std::size_t MaxCopies = 20'000;
 
+/// Returns the longest time that a request to \p Service may run.
+duration longestTimeout(const configuration &Configuration,
+                        const std::string &Service) {
+  std::chrono::milliseconds Longest{0};
+  for (const route &Route : Configuration.routes()) {
+    if (Route.Service == Service)
+      Longest = std::max(Longest, Route.Timeout);
+  }
+  return Longest;
+}
+
 bool isKeySubject(const lease_subject &Subject) {
   return Subject.starts_with(KeyService);
 }
@@ -75,27 +86,17 @@
     gainGroup(valueOf(Group), Until, Now);
 }
 
-duration owned_subjects::longestTimeout(const std::string &Service) const {
-  std::chrono::milliseconds Longest{0};
-  const auto View = Control.makeView(monotonicNow());
-  for (const route &Route : View->Configuration->routes()) {
-    if (Route.Service == Service)
-      Longest = std::max(Longest, Route.Timeout);
-  }
-  return Longest;
-}
-
 void owned_subjects::gainGroup(const group_id &Id, time_point Until,
                                time_point Now) {
-  const auto View = Control.makeView(Now);
-  if (!View->Configuration)
+  const auto Configuration = Control.currentConfiguration();
+  if (!Configuration)
     return;
-  const server_group_spec *Spec = View->Configuration->findGroup(Id);
+  const server_group_spec *Spec = Configuration->findGroup(Id);
   if (!Spec)
     return;
   server_group_settings GroupSettings;
-  GroupSettings.Service = View->Configuration->services().at(Id.Service);
-  GroupSettings.RetryPercent = View->Configuration->costBudgets().RetryPercent;
+  GroupSettings.Service = Configuration->services().at(Id.Service);
+  GroupSettings.RetryPercent = Configuration->costBudgets().RetryPercent;
   const auto Made = group_shard::create(*Spec, GroupSettings, Context);
   if (errorOf(Made))
     return;
@@ -108,11 +109,11 @@
       Attempts.push_back(fromWire(Attempt, Now));
     Shard->inherit(Attempts);
   } else {
-    Shard->assumeOccupied(Now + longestTimeout(Id.Service) +
+    Shard->assumeOccupied(Now + longestTimeout(*Configuration, Id.Service) +
                           GroupSettings.CancelGrace);
   }
   Shard->reconfigure(GroupSettings.Service, Spec->Servers,
-                     View->Configuration->zoneIsIn(Id.Zone));
+                     Configuration->zoneIsIn(Id.Zone));
   Shard->setRight(Until);
   Groups.emplace(Subject, Shard);
   Context.Events.add(
--- a/src/node/owned_subjects.h
+++ b/src/node/owned_subjects.h
@@ -72,7 +72,6 @@
                  const std::string &Server, attempt_id Attempt);
   std::optional<wire::HandOverRequest>
   takeReceived(const lease_subject &Subject, time_point Now);
-  duration longestTimeout(const std::string &Service) const;
   void copyToHolder(const lease_subject &Partition, const key_entry &Entry);
 
   settings Settings;
--- a/tests/unit/server_group_test.cpp
+++ b/tests/unit/server_group_test.cpp
@@ -55,9 +55,9 @@
   return Found;
 }
 
-/// Lets a group's only server answer five requests, each after \p Service.
-void warmUp(server_group &Group, milliseconds Service) {
-  for (request_id Id = 1; Id <= 5; ++Id) {
+/// Lets a group answer \p Count requests one by one, each after \p Service.
+void warmUp(server_group &Group, milliseconds Service, request_id Count = 5) {
+  for (request_id Id = 1; Id <= Count; ++Id) {
     const auto Sent = only<send_order>(Group.submit(item(Id), Start));
     Group.finish(Sent[0].Attempt, attempt_outcome::Answered, Start + Service);
   }
@@ -316,12 +316,8 @@
 
 BOOST_AUTO_TEST_CASE(SlowIdempotentRequestIsHedgedOnAnIdleWarmServer) {
   server_group Group = group(2);
-  request_id Id = 1;
-  for (; Id <= 24; ++Id) {
-    const auto Sent = only<send_order>(Group.submit(item(Id), Start));
-    Group.finish(Sent[0].Attempt, attempt_outcome::Answered,
-                 Start + milliseconds(10));
-  }
+  warmUp(Group, milliseconds(10), 24);
+  const request_id Id = 25;
   const auto Sent = only<send_order>(Group.submit(item(Id), Start));
   const auto Hedge = only<send_order>(Group.tick(Start + milliseconds(65)));
   BOOST_REQUIRE(Hedge.size() == 1);
@@ -335,12 +331,8 @@
 
 BOOST_AUTO_TEST_CASE(NonIdempotentRequestIsNeverHedged) {
   server_group Group = group(2);
-  request_id Id = 1;
-  for (; Id <= 24; ++Id) {
-    const auto Sent = only<send_order>(Group.submit(item(Id), Start));
-    Group.finish(Sent[0].Attempt, attempt_outcome::Answered,
-                 Start + milliseconds(10));
-  }
+  warmUp(Group, milliseconds(10), 24);
+  const request_id Id = 25;
   Group.submit(item(Id, false), Start);
   BOOST_TEST(only<send_order>(Group.tick(Start + milliseconds(900))).empty());
 }
