--- a/include/agatedale/configuration.h
+++ b/include/agatedale/configuration.h
@@ -59,6 +59,8 @@
   std::string LoadPath;     ///< Load endpoint; empty when there is none.
   std::chrono::milliseconds LoadReportLag{500}; ///< Oldest a report may be.
   int QueuePerSlot = 32; ///< Queue bound, per slot of the group.
+  std::chrono::milliseconds ColdTime{0}; ///< How long a start leaves it slow.
+  double ColdPerSecond = 0; ///< Requests that a cold server bears; 0: no bound.
 };
 
 /// A backend server of a service.
@@ -68,6 +70,17 @@
   std::string Zone;
   std::string Address; ///< "ip:port".
   bool Leaving = false;
+  int Slots = 0; ///< Requests that it bears at once; 0: as its service says.
+  std::chrono::milliseconds ColdLeft{0}; ///< How much longer it stays cold.
+  std::uint64_t Start = 0; ///< Identifies one start of the server.
+
+  bool operator==(const backend_server &) const = default;
+};
+
+/// A service that takes a share of a route's requests.
+struct weighted_service {
+  std::string Service;
+  double Weight = 1;
 };
 
 /// How a route treats idempotency keys.
@@ -85,6 +98,19 @@
   key_use Key = key_use::Optional;
   std::vector<std::string> Homes; ///< Home regions; empty for any.
   std::int64_t MaxBodyBytes = 1 << 20;
+  std::string Host; ///< Host that callers name; empty for any.
+  std::vector<weighted_service> Split; ///< Services that share the requests.
+  std::chrono::milliseconds Aim{0}; ///< An answer is on time until then; or 0.
+  int Priority = 0;                 ///< 0 is served first.
+  int MaxAttempts = 2; ///< Servers that one request may be sent to.
+};
+
+/// Bounds on what a caller may send and how long it may take.
+struct caller_limits {
+  std::int64_t HeaderBytes = 16 * 1024;
+  std::int64_t BodyBytes = 64 << 20;
+  std::chrono::milliseconds HeaderTimeout{3000};
+  std::chrono::milliseconds IdleTimeout{15'000};
 };
 
 /// A client account: whose requests share the servers fairly.
@@ -107,6 +133,15 @@
   std::vector<backend_server> Servers;
 };
 
+/// The objects of a configuration that was decoded elsewhere.
+struct configuration_parts {
+  std::vector<availability_zone> Zones;
+  std::vector<service> Services;
+  std::vector<backend_server> Servers;
+  std::vector<route> Routes;
+  caller_limits Callers;
+};
+
 /// One numbered version of the operators' configuration, checked as a whole.
 ///
 ///   auto Loaded = configuration::fromFolder("samples/maraval");
@@ -123,6 +158,10 @@
   static result<configuration> fromDocument(std::string_view Text,
                                             std::string_view Source);
 
+  /// Builds a configuration out of decoded objects. A route that names a
+  /// service which is not there is an error.
+  static result<configuration> fromParts(configuration_parts Parts);
+
   /// Returns the merged document in TOML, with the states of the zones.
   std::string toDocument() const { return Document; }
 
@@ -154,6 +193,12 @@
   /// Returns the route with the longest prefix that takes the request, or null.
   const route *findRoute(std::string_view Method, std::string_view Path) const;
 
+  /// Returns the route of \p Host with the longest prefix of \p Path, or null.
+  const route *findRouteOfHost(std::string_view Host,
+                               std::string_view Path) const;
+
+  const caller_limits &callers() const { return Callers; }
+
   /// Returns the region of \p Zone, or an empty view.
   std::string_view regionOf(std::string_view Zone) const;
 
@@ -163,7 +208,10 @@
 private:
   friend class configuration_reader;
 
+  void buildGroups();
+
   std::string Document;
+  caller_limits Callers;
   std::vector<std::string> Regions;
   std::map<std::string, availability_zone> Zones;
   std::vector<region_link> Links;
--- a/include/agatedale/fair_queue.h
+++ b/include/agatedale/fair_queue.h
@@ -25,14 +25,20 @@
   int Weight = 1;
   time_point Deadline;
   bool Idempotent = false;
+  int Priority = 0;        ///< 0 is served first.
+  time_point Aim{};        ///< An answer is on time until then; none when zero.
+  std::string Route;       ///< Requests of one route take alike long.
+  int MaxAttempts = 0;     ///< Servers that may be sent it; 0: no bound.
+  int AttemptsMade = 0;    ///< Servers that were sent it.
   int AvoidServer = -1;    ///< Index of a server that just failed it, or -1.
   bool MayHaveRun = false; ///< An earlier attempt may have run it.
   bool Repeatable = true;  ///< False once its body cannot be sent again.
 };
 
 /// A bounded queue that serves client accounts in proportion to their weights
-/// (start-time fair queueing) and, within an account, the earliest deadline
-/// first. When it is full, the longest account makes room for a shorter one.
+/// (start-time fair queueing) and, within an account, the most urgent priority
+/// and then the earliest deadline first. When it is full, the longest account
+/// makes room for a shorter one.
 ///
 ///   fair_queue Queue = fair_queue::create(64);
 ///   auto Pushed = Queue.push(Item);
@@ -72,15 +78,25 @@
   std::size_t capacity() const { return Capacity; }
   void setCapacity(std::size_t NewCapacity) { Capacity = NewCapacity; }
 
-  /// Returns how many items of \p Account would be served before \p Deadline.
-  std::size_t ahead(const std::string &Account, time_point Deadline) const;
+  /// Returns how many items of its account would be served before \p Item.
+  std::size_t ahead(const work_item &Item) const;
+
+  /// Returns the items in the order in which one account is served.
+  std::vector<work_item> inOrder() const;
 
   /// Returns the part of the service rate that an account of \p Weight gets
   /// while the accounts that are queued now stay so.
   double shareOf(const std::string &Account, int Weight) const;
 
 private:
-  using queue_order = std::pair<time_point, request_id>;
+  struct queue_order {
+    int Priority = 0;
+    time_point Deadline;
+    request_id Id = 0;
+
+    // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
+    auto operator<=>(const queue_order &) const = default;
+  };
 
   struct account_queue {
     std::map<queue_order, work_item> Items;
--- a/include/agatedale/server_group.h
+++ b/include/agatedale/server_group.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include "agatedale/clock.h"
+#include "agatedale/cold_pace.h"
 #include "agatedale/configuration.h"
 #include "agatedale/fair_queue.h"
+#include "agatedale/outlier_detector.h"
 #include "agatedale/retry_budget.h"
 #include "agatedale/slot_limit.h"
 #include "agatedale/verdict.h"
@@ -43,6 +45,15 @@
   request_id Request = 0;
   refusal_reason Reason = refusal_reason::None;
   verdict Verdict = verdict::NotRun;
+  duration ComeBackIn{}; ///< When the group expects to have room again.
+  int AttemptsMade = 0;  ///< Servers that were sent the request.
+};
+
+/// What a server tells of itself with an answer.
+struct server_report {
+  int Running = 0;
+  int Waiting = 0;
+  double Slowness = 1; ///< How long work takes there now; 1 is as usual.
 };
 
 /// Order to hand an attempt's answer to the caller.
@@ -60,6 +71,7 @@
   ErrorAnswer,   ///< A whole answer with a status of 5xx.
   Shed,          ///< The server said that it did not run the request.
   Draining,      ///< As Shed, and the server takes no more work for now.
+  WrongServer,   ///< Another server has the address; it did not run it.
   ConnectFailed, ///< Nothing was sent.
   NotSent,       ///< This node lost the right to send before it sent.
   Broke,         ///< The connection broke after sending began.
@@ -158,7 +170,8 @@
 
   /// Records how an attempt ended and decides what follows.
   std::vector<group_action> finish(attempt_id Attempt, attempt_outcome Outcome,
-                                   time_point Now);
+                                   time_point Now,
+                                   const server_report *Report = nullptr);
 
   /// Records a sign that \p Server was restarted: it counts as cold.
   void onRestart(std::string_view Server);
@@ -169,6 +182,9 @@
   /// Forbids another attempt: the request's body is being consumed.
   void forbidRetry(request_id Request);
 
+  /// Returns the attempts of \p Request that are in flight.
+  std::vector<attempt_id> attemptsOf(request_id Request) const;
+
   /// Lets time pass: refuses what is too late, hedges, ends pauses.
   std::vector<group_action> tick(time_point Now);
 
@@ -221,6 +237,11 @@
     std::vector<time_point> Lingering; ///< Ends of broken-off attempts.
     bool Gone = false;
     time_point DrainingUntil{};
+    cold_pace Pace;
+    time_point ColdUntil{};
+    outlier_detector Health;
+    double ToldSlowness = 1;
+    time_point ToldAt{};
   };
 
   struct attempt {
@@ -239,7 +260,12 @@
 
   server_group(const server_group_settings &Settings);
 
-  slot_limit_settings limitSettings() const;
+  slot_limit_settings limitSettings(const backend_server &Server) const;
+  int slotsOf(const backend_server &Server) const;
+  double coldRate(const server_state &State, time_point Now) const;
+  bool ejectionsCount(time_point Now) const;
+  void refuseHopeless(time_point Now, std::vector<group_action> &Actions);
+  duration serviceTime(const work_item &Item) const;
   bool isClosed(const server_state &State, time_point Now) const;
   int freeSlots(const server_state &State, time_point Now) const;
   int occupied(const server_state &State, time_point Now) const;
@@ -251,14 +277,18 @@
   void send(const work_item &Item, int Server, bool Hedge, time_point Now,
             std::vector<group_action> &Actions);
   void coolSilentServers(time_point Now);
+  bool canBeOnTime(const work_item &Item, time_point Begin) const;
   bool startsTooLate(const work_item &Item, time_point Now) const;
   void expireQueue(time_point Now, std::vector<group_action> &Actions);
   void hedgeSlow(time_point Now, std::vector<group_action> &Actions);
-  void refuse(request_id Request, refusal_reason Reason, verdict Verdict,
+  void refuse(const work_item &Item, refusal_reason Reason, time_point Now,
               std::vector<group_action> &Actions);
   void recordOutcome(server_state &State, const attempt &Attempt,
                      attempt_outcome Outcome, time_point Now);
-  void recordAnswer(server_state &State, duration ServiceTime, time_point Now);
+  void recordHealth(server_state &State, attempt_outcome Outcome,
+                    time_point Now);
+  void recordAnswer(server_state &State, const attempt &Attempt,
+                    time_point Now);
   void retryOrRefuse(const work_item &Item, int Server, attempt_outcome Outcome,
                      time_point Now, std::vector<group_action> &Actions);
   void abandonOthers(running_request &Running, attempt_id Winner,
@@ -276,6 +306,8 @@
   std::map<request_id, running_request> Running;
   attempt_id NextAttempt = 1;
   double TypicalMicros = 0;
+  std::map<std::string, double, std::less<>> RouteMicros; ///< By route.
+  bool EjectionsCount = true; ///< Fewer than half of the servers are ejected.
   bool ZoneIn = true;
   bool HandedOver = false;
   time_point RightUntil{};
--- a/include/agatedale/settings.h
+++ b/include/agatedale/settings.h
@@ -8,12 +8,16 @@
 #include <cstdint>
 #include <filesystem>
 #include <string>
+#include <string_view>
 
 namespace agatedale {
 
 /// How much is logged.
 enum class log_level { Debug, Info, Warning, Error };
 
+/// Returns the level that settings name \p Name; Info for any other.
+log_level levelFromName(std::string_view Name);
+
 /// Bounds on what a process takes in and keeps.
 struct process_limits {
   int CallerThreads = 256;
--- a/include/agatedale/zone_choice.h
+++ b/include/agatedale/zone_choice.h
@@ -24,6 +24,12 @@
   duration ChangePause = std::chrono::milliseconds(20);
 };
 
+/// A server group that may be chosen, and what the way to it costs.
+struct zone_candidate {
+  group_id Group;
+  duration Hop{};
+};
+
 /// Chooses between the server groups of a service by the queue lengths that
 /// their owners told on their answers, counting what this node has sent since.
 ///
@@ -55,6 +61,11 @@
                                  std::string_view OwnZone, time_point Now,
                                  const group_id *Except = nullptr) const;
 
+  /// As above, with the cost of the way to each group.
+  std::optional<group_id> choose(std::span<const zone_candidate> Candidates,
+                                 time_point Now,
+                                 const group_id *Except = nullptr) const;
+
 private:
   struct group_state {
     group_load Load;
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -34,6 +34,62 @@
       fmt::format("'{}' is no group; expected service/zone/part", Text)};
 }
 
+void configuration::buildGroups() {
+  std::map<std::pair<std::string, std::string>, std::vector<backend_server>>
+      Places;
+  for (const backend_server &Server : Servers)
+    Places[{Server.Service, Server.Zone}].push_back(Server);
+  for (const auto &[Place, Members] : Places) {
+    const std::size_t Parts =
+        (Members.size() + MaxGroupServers - 1) / MaxGroupServers;
+    for (std::size_t Part = 0; Part < Parts; ++Part) {
+      server_group_spec Spec{
+          {Place.first, Place.second, static_cast<int>(Part)}, {}};
+      for (std::size_t I = Part; I < Members.size(); I += Parts)
+        Spec.Servers.push_back(Members[I]);
+      Groups.push_back(std::move(Spec));
+    }
+  }
+}
+
+namespace {
+
+/// Returns the first service that \p Route names and \p Services lacks.
+const std::string *
+unknownService(const route &Route,
+               const std::map<std::string, service> &Services) {
+  for (const weighted_service &Part : Route.Split) {
+    if (!Services.contains(Part.Service))
+      return &Part.Service;
+  }
+  return nullptr;
+}
+
+} // namespace
+
+result<configuration> configuration::fromParts(configuration_parts Parts) {
+  configuration Config;
+  for (availability_zone &Zone : Parts.Zones) {
+    if (std::find(Config.Regions.begin(), Config.Regions.end(), Zone.Region) ==
+        Config.Regions.end())
+      Config.Regions.push_back(Zone.Region);
+    Config.Zones.emplace(Zone.Name, Zone);
+  }
+  for (service &Service : Parts.Services)
+    Config.Services.emplace(Service.Name, Service);
+  for (const route &Route : Parts.Routes) {
+    if (const std::string *Unknown = unknownService(Route, Config.Services))
+      return error{error_kind::InvalidInput,
+                   fmt::format("route '{}' names the unknown service '{}'",
+                               Route.Name, *Unknown)};
+  }
+  Config.Servers = std::move(Parts.Servers);
+  Config.Routes = std::move(Parts.Routes);
+  Config.Callers = Parts.Callers;
+  Config.buildGroups();
+  return Config;
+}
+
 const server_group_spec *configuration::findGroup(const group_id &Id) const {
   const auto Found =
       std::lower_bound(Groups.begin(), Groups.end(), Id,
@@ -72,6 +128,18 @@
   return Longest;
 }
 
+const route *configuration::findRouteOfHost(std::string_view Host,
+                                            std::string_view Path) const {
+  const route *Longest = nullptr;
+  for (const route &Route : Routes) {
+    if (Route.Host != Host || !Path.starts_with(Route.PathPrefix))
+      continue;
+    if (!Longest || Route.PathPrefix.size() > Longest->PathPrefix.size())
+      Longest = &Route;
+  }
+  return Longest;
+}
+
 std::string_view configuration::regionOf(std::string_view Zone) const {
   const auto Found = Zones.find(std::string(Zone));
   return Found == Zones.end() ? std::string_view()
--- a/src/config/configuration_reader.cpp
+++ b/src/config/configuration_reader.cpp
@@ -32,7 +32,6 @@
   bool readZoneStates();
   bool checkTopLevel();
   void checkHomes(toml_reader &Reader, const std::vector<std::string> &Homes);
-  void buildGroups();
   bool keep(const error *Error);
 
   const toml::table &Root;
@@ -280,31 +279,13 @@
   return true;
 }
 
-void configuration_reader::buildGroups() {
-  std::map<std::pair<std::string, std::string>, std::vector<backend_server>>
-      Places;
-  for (const backend_server &Server : Config.Servers)
-    Places[{Server.Service, Server.Zone}].push_back(Server);
-  for (const auto &[Place, Servers] : Places) {
-    const std::size_t Parts =
-        (Servers.size() + MaxGroupServers - 1) / MaxGroupServers;
-    for (std::size_t Part = 0; Part < Parts; ++Part) {
-      server_group_spec Spec{
-          {Place.first, Place.second, static_cast<int>(Part)}, {}};
-      for (std::size_t I = Part; I < Servers.size(); I += Parts)
-        Spec.Servers.push_back(Servers[I]);
-      Config.Groups.push_back(std::move(Spec));
-    }
-  }
-}
-
 result<configuration> configuration_reader::read() {
   const bool Good = checkTopLevel() && readWorld() && readServices() &&
                     readServers() && readRoutes() && readAccounts() &&
                     readBudgets() && readZoneStates();
   if (!Good)
     return Failure;
-  buildGroups();
+  Config.buildGroups();
   Config.Document = printToml(Root);
   return std::move(Config);
 }
--- /dev/null
+++ b/src/config/gateway_settings.cpp
@@ -0,0 +1,58 @@
+/// \file
+/// Reads the settings of a gateway.
+#include "agatedale/gateway_settings.h"
+#include "toml_reader.h"
+
+namespace agatedale {
+
+namespace {
+
+constexpr std::int64_t MaxPort = 65535;
+constexpr double MaxGraceSeconds = 600;
+constexpr double MillisPerSecond = 1000;
+
+/// Half of the retries that the operators allow are left to chance: each VM
+/// keeps its share without asking the others.
+constexpr double ShareOfAllowedRetries = 0.5;
+constexpr double Percent = 100;
+
+} // namespace
+
+result<gateway_settings>
+gateway_settings::fromFile(const std::filesystem::path &File) {
+  const result<toml::table> Parsed = parseTomlFile(File);
+  if (const error *Error = errorOf(Parsed))
+    return *Error;
+  toml_reader Reader(valueOf(Parsed), "");
+  gateway_settings Settings;
+  Settings.Vm = Reader.requiredText("vm");
+  Settings.Ip = Reader.requiredText("ip");
+  Settings.Zone = Reader.requiredText("zone");
+  Settings.Region = Reader.requiredText("region");
+  Settings.CallerAddress = Reader.requiredText("caller_address");
+  Settings.ReadinessAddress = Reader.requiredText("readiness_address");
+  Settings.StoreAddress = Reader.requiredText("store_address");
+  Settings.PeerPort =
+      static_cast<std::uint16_t>(Reader.integer("peer_port", 0, 1, MaxPort));
+  Settings.StopGrace = std::chrono::milliseconds(static_cast<std::int64_t>(
+      MillisPerSecond *
+      Reader.number("stop_grace_s", 6, 0.5, MaxGraceSeconds)));
+  Settings.RetryPercent = Percent * ShareOfAllowedRetries *
+                          Reader.number("retry_ratio", 0.2, 0, 10);
+  Settings.Level = levelFromName(Reader.choice(
+      "log_level", "info", {"debug", "info", "warning", "error"}));
+  if (const toml::table *Zones = Reader.table("zones")) {
+    toml_reader ZoneReader(*Zones, "zones");
+    for (const auto &[Key, Node] : *Zones)
+      Settings.Zones.emplace(Key.str(), ZoneReader.requiredText(Key.str()));
+    if (const error *Error = ZoneReader.finish())
+      return *Error;
+  }
+  if (!Settings.Zones.contains(Settings.Zone))
+    Reader.refuse("zones", "must hold the VM's own zone");
+  if (const error *Error = Reader.finish())
+    return *Error;
+  return Settings;
+}
+
+} // namespace agatedale
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -51,14 +51,6 @@
       Reader.integer("key_entries", Limits.KeyEntries, 1, 10'000'000));
 }
 
-log_level levelFromName(const std::string &Name) {
-  if (Name == "debug")
-    return log_level::Debug;
-  if (Name == "warning")
-    return log_level::Warning;
-  return Name == "error" ? log_level::Error : log_level::Info;
-}
-
 std::uint16_t readPort(toml_reader &Reader, std::string_view Key,
                        std::uint16_t Default) {
   return static_cast<std::uint16_t>(Reader.integer(Key, Default, 1, MaxPort));
@@ -66,6 +58,14 @@
 
 } // namespace
 
+log_level levelFromName(std::string_view Name) {
+  if (Name == "debug")
+    return log_level::Debug;
+  if (Name == "warning")
+    return log_level::Warning;
+  return Name == "error" ? log_level::Error : log_level::Info;
+}
+
 result<settings> settings::fromFile(const std::filesystem::path &File) {
   const result<toml::table> Parsed = parseTomlFile(File);
   if (const error *Error = errorOf(Parsed))
--- a/src/core/attempt_outcome.cpp
+++ b/src/core/attempt_outcome.cpp
@@ -14,6 +14,8 @@
     return "shed";
   case attempt_outcome::Draining:
     return "draining";
+  case attempt_outcome::WrongServer:
+    return "wrong-server";
   case attempt_outcome::ConnectFailed:
     return "connect-failed";
   case attempt_outcome::NotSent:
@@ -39,6 +41,7 @@
     return verdict::Answered;
   case attempt_outcome::Shed:
   case attempt_outcome::Draining:
+  case attempt_outcome::WrongServer:
   case attempt_outcome::ConnectFailed:
   case attempt_outcome::NotSent:
     return verdict::NotRun;
@@ -56,6 +59,7 @@
   switch (Outcome) {
   case attempt_outcome::Shed:
   case attempt_outcome::Draining:
+  case attempt_outcome::WrongServer:
     return refusal_reason::ServerShed;
   case attempt_outcome::ConnectFailed:
     return refusal_reason::ServerUnreachable;
--- a/src/core/fair_queue.cpp
+++ b/src/core/fair_queue.cpp
@@ -23,10 +23,10 @@
     Queue->second.VirtualTime = std::max(SystemTime, Finish);
     Queue->second.Weight = std::max(Item.Weight, 1);
   }
-  const queue_order Order{Item.Deadline, Item.Id};
+  const queue_order Order{Item.Priority, Item.Deadline, Item.Id};
   Queue->second.Items.emplace(Order, Item);
   Places.emplace(Item.Id, place{Item.Account, Order});
-  ByDeadline.insert(Order);
+  ByDeadline.emplace(Item.Deadline, Item.Id);
 }
 
 std::map<std::string, fair_queue::account_queue>::iterator
@@ -71,7 +71,7 @@
 fair_queue::takeFrom(std::map<std::string, account_queue>::iterator Queue,
                      std::map<queue_order, work_item>::iterator Where) {
   work_item Item = std::move(Where->second);
-  ByDeadline.erase(Where->first);
+  ByDeadline.erase({Item.Deadline, Item.Id});
   Places.erase(Item.Id);
   Queue->second.Items.erase(Where);
   if (Queue->second.Items.empty()) {
@@ -120,16 +120,25 @@
 
 std::vector<work_item> fair_queue::drain() { return expire(time_point::max()); }
 
-std::size_t fair_queue::ahead(const std::string &Account,
-                              time_point Deadline) const {
-  const auto Queue = Accounts.find(Account);
+std::size_t fair_queue::ahead(const work_item &Item) const {
+  const auto Queue = Accounts.find(Item.Account);
   if (Queue == Accounts.end())
     return 0;
   const auto &Items = Queue->second.Items;
-  if (Items.empty() || Items.rbegin()->first.first <= Deadline)
+  const queue_order Order{Item.Priority, Item.Deadline, Item.Id};
+  if (Items.empty() || Items.rbegin()->first < Order)
     return Items.size();
   return static_cast<std::size_t>(
-      std::distance(Items.begin(), Items.upper_bound({Deadline, 0})));
+      std::distance(Items.begin(), Items.lower_bound(Order)));
+}
+
+std::vector<work_item> fair_queue::inOrder() const {
+  std::vector<work_item> All;
+  for (const auto &[Name, Queue] : Accounts) {
+    for (const auto &[Order, Item] : Queue.Items)
+      All.push_back(Item);
+  }
+  return All;
 }
 
 double fair_queue::shareOf(const std::string &Account, int Weight) const {
--- a/src/core/server_group.cpp
+++ b/src/core/server_group.cpp
@@ -30,18 +30,27 @@
                                     time_point Now) const {
   if (Queue.empty() && chooseServer(-1, Now) >= 0)
     return duration::zero();
-  const double Ahead =
-      static_cast<double>(Queue.ahead(Item.Account, Item.Deadline)) + 1;
+  const double Ahead = static_cast<double>(Queue.ahead(Item)) + 1;
   const double Rate =
       std::max(totalLimit(Now), 1) * Queue.shareOf(Item.Account, Item.Weight);
   return fromMicros(Ahead * TypicalMicros / Rate);
 }
 
-void server_group::refuse(request_id Request, refusal_reason Reason,
-                          verdict Verdict, std::vector<group_action> &Actions) {
+duration server_group::serviceTime(const work_item &Item) const {
+  const auto Known = RouteMicros.find(Item.Route);
+  return fromMicros(Known == RouteMicros.end() ? TypicalMicros : Known->second);
+}
+
+void server_group::refuse(const work_item &Item, refusal_reason Reason,
+                          time_point Now, std::vector<group_action> &Actions) {
   ++Counters.Refused;
-  Running.erase(Request);
-  Actions.push_back(group_refusal{Request, Reason, Verdict});
+  Running.erase(Item.Id);
+  const double Backlog = static_cast<double>(Queue.size()) + 1;
+  const duration ComeBackIn =
+      fromMicros(Backlog * TypicalMicros / std::max(totalLimit(Now), 1));
+  Actions.push_back(group_refusal{
+      Item.Id, Reason, Item.MayHaveRun ? verdict::MayHaveRun : verdict::NotRun,
+      ComeBackIn, Item.AttemptsMade});
 }
 
 std::vector<group_action> server_group::submit(const work_item &Item,
@@ -55,42 +64,62 @@
         return !S.Gone && !S.Server.Leaving;
       });
   if (HandedOver || Now >= RightUntil) {
-    refuse(Item.Id, refusal_reason::NotOwner, verdict::NotRun, Actions);
+    refuse(Item, refusal_reason::NotOwner, Now, Actions);
     return Actions;
   }
   if (!HasServer) {
-    refuse(Item.Id, refusal_reason::NoServer, verdict::NotRun, Actions);
+    refuse(Item, refusal_reason::NoServer, Now, Actions);
     return Actions;
   }
   // An idle server takes the request whatever the past was like; else a group
   // whose typical time grew too long would refuse all and never learn better.
   const bool IsIdle = Queue.empty() && chooseServer(-1, Now) >= 0;
-  const time_point Expected =
-      Now + expectedWait(Item, Now) +
-      fromMicros(TypicalMicros * Settings.AdmissionFactor);
-  if (!IsIdle && Expected > Item.Deadline) {
-    refuse(Item.Id, refusal_reason::CannotBeOnTime, verdict::NotRun, Actions);
+  if (!IsIdle && !canBeOnTime(Item, Now + expectedWait(Item, Now))) {
+    refuse(Item, refusal_reason::CannotBeOnTime, Now, Actions);
     return Actions;
   }
   const fair_queue::push_result Pushed = Queue.push(Item);
   if (Pushed.Refused != refusal_reason::None)
-    refuse(Item.Id, Pushed.Refused, verdict::NotRun, Actions);
+    refuse(Item, Pushed.Refused, Now, Actions);
   if (Pushed.PushedOut)
-    refuse(Pushed.PushedOut->Id, refusal_reason::AccountQueueFull,
-           Pushed.PushedOut->MayHaveRun ? verdict::MayHaveRun : verdict::NotRun,
-           Actions);
+    refuse(*Pushed.PushedOut, refusal_reason::AccountQueueFull, Now, Actions);
   dispatch(Now, Actions);
+  refuseHopeless(Now, Actions);
   return Actions;
 }
 
 void server_group::expireQueue(time_point Now,
                                std::vector<group_action> &Actions) {
   for (const work_item &Item : Queue.expire(Now))
-    refuse(Item.Id, refusal_reason::DeadlinePassed,
-           Item.MayHaveRun ? verdict::MayHaveRun : verdict::NotRun, Actions);
+    refuse(Item, refusal_reason::DeadlinePassed, Now, Actions);
+}
+
+bool server_group::canBeOnTime(const work_item &Item, time_point Begin) const {
+  if (Item.Aim > time_point{})
+    return Begin + serviceTime(Item) <= Item.Aim;
+  return Begin + fromMicros(TypicalMicros * Settings.AdmissionFactor) <=
+         Item.Deadline;
+}
+
+void server_group::refuseHopeless(time_point Now,
+                                  std::vector<group_action> &Actions) {
+  const double Rate = std::max(totalLimit(Now), 1);
+  double Ahead = 0;
+  for (const work_item &Item : Queue.inOrder()) {
+    const time_point Begin =
+        Now + fromMicros((Ahead + 1) * TypicalMicros / Rate);
+    ++Ahead;
+    if (Item.Aim <= time_point{} || canBeOnTime(Item, Begin))
+      continue;
+    --Ahead;
+    Queue.remove(Item.Id);
+    refuse(Item, refusal_reason::CannotBeOnTime, Now, Actions);
+  }
 }
 
 bool server_group::startsTooLate(const work_item &Item, time_point Now) const {
+  if (Item.Aim > time_point{})
+    return Now + serviceTime(Item) / 2 > Item.Deadline;
   return Now + fromMicros(TypicalMicros * Settings.StartFactor) > Item.Deadline;
 }
 
@@ -105,8 +134,7 @@
     const std::optional<work_item> Item = Queue.pop();
     const bool IsLast = Queue.empty();
     if (!IsLast && startsTooLate(*Item, Now)) {
-      refuse(Item->Id, refusal_reason::DeadlinePassed,
-             Item->MayHaveRun ? verdict::MayHaveRun : verdict::NotRun, Actions);
+      refuse(*Item, refusal_reason::DeadlinePassed, Now, Actions);
       continue;
     }
     send(*Item, chooseServer(Item->AvoidServer, Now), false, Now, Actions);
@@ -115,7 +143,7 @@
 
 time_point server_group::attemptDeadline(const work_item &Item,
                                          time_point Now) const {
-  if (!Item.Idempotent || TypicalMicros <= 0)
+  if (!Item.Idempotent || TypicalMicros <= 0 || Item.Aim > time_point{})
     return Item.Deadline;
   const duration Given =
       std::max(Settings.LeastAttemptTime,
@@ -135,6 +163,8 @@
   Attempts.emplace(Id, Attempt);
   running_request &Request = Running[Item.Id];
   Request.Item = Item;
+  ++Request.Item.AttemptsMade;
+  State.Pace.onSent(Now, coldRate(State, Now));
   Request.Attempts.push_back(Id);
   Actions.push_back(send_order{Item.Id, Id, State.Server.Name,
                                State.Server.Address, Attempt.Deadline, Hedge});
@@ -151,14 +181,21 @@
   }
 }
 
-std::vector<group_action>
-server_group::finish(attempt_id Id, attempt_outcome Outcome, time_point Now) {
+std::vector<group_action> server_group::finish(attempt_id Id,
+                                               attempt_outcome Outcome,
+                                               time_point Now,
+                                               const server_report *Report) {
   std::vector<group_action> Actions;
   const auto Found = Attempts.find(Id);
   if (Found == Attempts.end())
     return Actions;
   const attempt Attempt = Found->second;
   Attempts.erase(Found);
+  if (Report) {
+    server_state &State = Servers[static_cast<std::size_t>(Attempt.Server)];
+    State.ToldSlowness = Report->Slowness;
+    State.ToldAt = Now;
+  }
   recordOutcome(Servers[static_cast<std::size_t>(Attempt.Server)], Attempt,
                 Outcome, Now);
   const auto Request = Running.find(Attempt.Request);
@@ -191,13 +228,16 @@
   work_item Next = Item;
   Next.MayHaveRun |= verdictOf(Outcome) != verdict::NotRun;
   Next.AvoidServer = Server;
+  const bool IsBelowBound =
+      Item.MaxAttempts == 0 || Item.AttemptsMade < Item.MaxAttempts;
   const bool Repeatable =
       Item.Repeatable && Outcome != attempt_outcome::BodyIncomplete &&
       Outcome != attempt_outcome::NotSent &&
       maySendAgain(Next.MayHaveRun ? verdict::MayHaveRun : verdict::NotRun,
                    Item.Idempotent);
   const bool HasTime = Now + fromMicros(TypicalMicros) < Item.Deadline;
-  const bool Allowed = !HandedOver && Now < RightUntil && Repeatable && HasTime;
+  const bool Allowed =
+      !HandedOver && Now < RightUntil && Repeatable && HasTime && IsBelowBound;
   if (Allowed && Queue.size() < Queue.capacity() && Budget.spend()) {
     ++Counters.Retries;
     Queue.putBack(Next);
@@ -208,8 +248,7 @@
     Actions.push_back(deliver_order{Item.Id, 0});
     return;
   }
-  refuse(Item.Id, reasonOf(Outcome),
-         Next.MayHaveRun ? verdict::MayHaveRun : verdict::NotRun, Actions);
+  refuse(Next, reasonOf(Outcome), Now, Actions);
 }
 
 bool server_group::withdraw(request_id Request) {
@@ -222,6 +261,12 @@
     Found->second.Item.Repeatable = false;
 }
 
+std::vector<attempt_id> server_group::attemptsOf(request_id Request) const {
+  const auto Found = Running.find(Request);
+  return Found == Running.end() ? std::vector<attempt_id>()
+                                : Found->second.Attempts;
+}
+
 void server_group::hedgeSlow(time_point Now,
                              std::vector<group_action> &Actions) {
   if (!Settings.Hedging || !Queue.empty() || TypicalMicros <= 0)
@@ -261,7 +306,9 @@
   }
   coolSilentServers(Now);
   expireQueue(Now, Actions);
+  EjectionsCount = ejectionsCount(Now);
   dispatch(Now, Actions);
+  refuseHopeless(Now, Actions);
   if (!HandedOver && Now < RightUntil)
     hedgeSlow(Now, Actions);
   return Actions;
@@ -272,8 +319,7 @@
   std::vector<group_action> Actions;
   HandedOver = true;
   for (const work_item &Item : Queue.drain())
-    refuse(Item.Id, refusal_reason::NotOwner,
-           Item.MayHaveRun ? verdict::MayHaveRun : verdict::NotRun, Actions);
+    refuse(Item, refusal_reason::NotOwner, time_point{}, Actions);
   for (const auto &[Id, Attempt] : Attempts) {
     const server_state &State =
         Servers[static_cast<std::size_t>(Attempt.Server)];
--- a/src/core/server_group_servers.cpp
+++ b/src/core/server_group_servers.cpp
@@ -20,6 +20,10 @@
 /// counts as typical, so that a server that was slow once is tried again.
 constexpr duration SpeedMemory = std::chrono::milliseconds(500);
 
+/// How long the slowness that a server told is believed; neighbours on its
+/// machine come and go within about that time.
+constexpr duration ToldMemory = std::chrono::milliseconds(150);
+
 /// Ranks the server that just failed a request behind all others.
 constexpr double AvoidedScore = 1e12;
 
@@ -28,9 +32,14 @@
 
 } // namespace
 
-slot_limit_settings server_group::limitSettings() const {
+int server_group::slotsOf(const backend_server &Server) const {
+  return Server.Slots > 0 ? Server.Slots : Settings.Service.Slots;
+}
+
+slot_limit_settings
+server_group::limitSettings(const backend_server &Server) const {
   slot_limit_settings Limit;
-  Limit.Slots = Settings.Service.Slots;
+  Limit.Slots = slotsOf(Server);
   Limit.WarmUpAnswers = Settings.Service.WarmUpAnswers;
   return Limit;
 }
@@ -38,7 +47,7 @@
 void server_group::reconfigure(const service &Service) {
   Settings.Service = Service;
   for (server_state &State : Servers)
-    State.Limit.reconfigure(limitSettings());
+    State.Limit.reconfigure(limitSettings(State.Server));
   resizeQueue();
 }
 
@@ -55,7 +64,8 @@
 }
 
 void server_group::addServer(const backend_server &Server, time_point Now) {
-  server_state Fresh(Server, slot_limit::create(limitSettings()));
+  server_state Fresh(Server, slot_limit::create(limitSettings(Server)));
+  Fresh.ColdUntil = Now + Server.ColdLeft;
   for (server_state &State : Servers) {
     if (!State.Gone || occupied(State, Now) > 0)
       continue;
@@ -77,8 +87,10 @@
 server_group::setServers(std::span<const backend_server> NewServers,
                          bool NewZoneIn, time_point Now) {
   if (NewZoneIn && !ZoneIn) {
-    for (server_state &State : Servers)
+    for (server_state &State : Servers) {
       State.Limit.turnCold();
+      State.ColdUntil = Now + Settings.Service.ColdTime;
+    }
   }
   ZoneIn = NewZoneIn;
   for (server_state &State : Servers)
@@ -88,7 +100,8 @@
     const auto Known = std::find_if(
         Servers.begin(), Servers.end(), [&Server](const server_state &State) {
           return State.Server.Name == Server.Name &&
-                 State.Server.Address == Server.Address;
+                 State.Server.Address == Server.Address &&
+                 State.Server.Start == Server.Start;
         });
     if (Known == Servers.end()) {
       Added.push_back(Server);
@@ -96,6 +109,8 @@
     }
     if (Known->Server.Leaving && !Server.Leaving)
       Known->Limit.turnCold();
+    if (Known->Server.ColdLeft != Server.ColdLeft)
+      Known->ColdUntil = Now + Server.ColdLeft;
     Known->Server = Server;
     Known->Gone = false;
   }
@@ -123,14 +138,34 @@
          Now < State.DrainingUntil;
 }
 
+double server_group::coldRate(const server_state &State, time_point Now) const {
+  return Now < State.ColdUntil ? Settings.Service.ColdPerSecond : 0;
+}
+
+bool server_group::ejectionsCount(time_point Now) const {
+  std::size_t Open = 0;
+  std::size_t Ejected = 0;
+  for (const server_state &State : Servers) {
+    if (isClosed(State, Now))
+      continue;
+    ++Open;
+    Ejected += State.Health.isEjected(Now) ? 1 : 0;
+  }
+  return 2 * Ejected <= Open;
+}
+
 int server_group::freeSlots(const server_state &State, time_point Now) const {
-  if (isClosed(State, Now))
+  if (isClosed(State, Now) || !State.Pace.allows(Now, coldRate(State, Now)))
+    return 0;
+  if (EjectionsCount && State.Health.isEjected(Now))
     return 0;
   return std::max(0, State.Limit.allowed(Now) - occupied(State, Now));
 }
 
 double server_group::expectedMicros(const server_state &State,
                                     time_point Now) const {
+  if (Now - State.ToldAt < ToldMemory)
+    return std::max(State.ToldSlowness * TypicalMicros, 1.0);
   const bool Known =
       State.SmoothedMicros > 0 && Now - State.AnsweredAt < SpeedMemory;
   return std::max(Known ? State.SmoothedMicros : TypicalMicros, 1.0);
@@ -163,28 +198,52 @@
   return Total;
 }
 
-void server_group::recordAnswer(server_state &State, duration ServiceTime,
+void server_group::recordAnswer(server_state &State, const attempt &Attempt,
                                 time_point Now) {
   State.AnsweredAt = Now;
-  const double Micros = static_cast<double>(toMicros(ServiceTime));
+  const double Micros = static_cast<double>(toMicros(Now - Attempt.Started));
   const bool WasCold = State.Limit.isCold();
-  State.Limit.onAnswer(ServiceTime, fromMicros(TypicalMicros));
+  State.Limit.onAnswer(Now - Attempt.Started, fromMicros(TypicalMicros));
   if (!WasCold && State.Limit.isCold())
     ++Counters.LimitCuts;
-  State.SmoothedMicros +=
-      State.SmoothedMicros <= 0
-          ? Micros
-          : ServerSmoothing * (Micros - State.SmoothedMicros);
+  const auto Request = Running.find(Attempt.Request);
+  double &OfRoute =
+      RouteMicros[Request == Running.end() ? "" : Request->second.Item.Route];
+  OfRoute += OfRoute <= 0 ? Micros : GroupSmoothing * (Micros - OfRoute);
   TypicalMicros +=
       TypicalMicros <= 0 ? Micros : GroupSmoothing * (Micros - TypicalMicros);
+  // Routes take unlike long; a server's speed is told by the ratio.
+  const double Scaled = Micros * TypicalMicros / OfRoute;
+  State.SmoothedMicros +=
+      State.SmoothedMicros <= 0
+          ? Scaled
+          : ServerSmoothing * (Scaled - State.SmoothedMicros);
+}
+
+void server_group::recordHealth(server_state &State, attempt_outcome Outcome,
+                                time_point Now) {
+  const bool SaysNothing = Outcome == attempt_outcome::NotSent ||
+                           Outcome == attempt_outcome::Cancelled ||
+                           Outcome == attempt_outcome::Draining ||
+                           Outcome == attempt_outcome::Shed ||
+                           Outcome == attempt_outcome::BodyIncomplete;
+  if (SaysNothing)
+    return;
+  State.Health.onResult(Outcome != attempt_outcome::Answered, Now);
+  EjectionsCount = ejectionsCount(Now);
 }
 
 void server_group::recordOutcome(server_state &State, const attempt &Attempt,
                                  attempt_outcome Outcome, time_point Now) {
   --State.InFlight;
+  recordHealth(State, Outcome, Now);
   switch (Outcome) {
   case attempt_outcome::Answered:
-    recordAnswer(State, Now - Attempt.Started, Now);
+    recordAnswer(State, Attempt, Now);
+    return;
+  case attempt_outcome::WrongServer:
+    // Its entry goes soon, or names its new address.
+    State.DrainingUntil = Now + DrainPause;
     return;
   case attempt_outcome::ErrorAnswer:
     State.Limit.onErrorAnswer(Now);
@@ -243,7 +302,7 @@
 
 void server_group::assumeOccupied(time_point Until) {
   for (server_state &State : Servers) {
-    State.Assumed = Settings.Service.Slots;
+    State.Assumed = slotsOf(State.Server);
     State.AssumedUntil = Until;
   }
 }
--- /dev/null
+++ b/src/core/store_follower.cpp
@@ -0,0 +1,49 @@
+/// \file
+/// The order of reads of the store.
+#include "agatedale/store_follower.h"
+
+#include <algorithm>
+
+namespace agatedale {
+
+std::optional<store_read> store_follower::next(const store_mirror &Mirror,
+                                               int Rank, time_point Now) const {
+  if (Now < PausedUntil)
+    return std::nullopt;
+  std::uint64_t Newest = 0;
+  for (const store_table Table : AllStoreTables) {
+    if (Mirror.position(Table) == 0 || NeedsWhole.contains(Table))
+      return store_read{Table, true, 0, {}};
+    Newest = std::max(Newest, Mirror.position(Table));
+  }
+  const duration Patience =
+      Settings.RelayPatience +
+      std::min(Rank, Settings.MaxRank) * Settings.PatiencePerRank;
+  if (Rank > 0 && Now - Mirror.asOf() < Patience)
+    return std::nullopt;
+  for (const store_table Table : AllStoreTables) {
+    if (Mirror.position(Table) < Newest)
+      return store_read{Table, false, Mirror.position(Table), {}};
+  }
+  // Only the reader waits for changes; the others ask and are done.
+  const auto Wait =
+      Rank == 0 ? Settings.PollWait : std::chrono::milliseconds(0);
+  return store_read{store_table::Operators, false,
+                    Mirror.position(store_table::Operators), Wait};
+}
+
+void store_follower::onAnswer(store_table Table, bool Whole) {
+  Failures = 0;
+  PausedUntil = time_point{};
+  if (Whole)
+    NeedsWhole.erase(Table);
+}
+
+void store_follower::onFailure(time_point Now) {
+  constexpr int MaxDoublings = 4;
+  const int Doublings = std::min(Failures++, MaxDoublings);
+  PausedUntil = Now + std::min(Settings.FirstPause * (1 << Doublings),
+                               Settings.LongestPause);
+}
+
+} // namespace agatedale
--- a/src/core/zone_choice.cpp
+++ b/src/core/zone_choice.cpp
@@ -54,15 +54,26 @@
                                             std::string_view OwnZone,
                                             time_point Now,
                                             const group_id *Except) const {
+  std::vector<zone_candidate> Candidates;
+  Candidates.reserve(Groups.size());
+  for (const group_id &Group : Groups) {
+    const bool IsOther = Group.Zone != OwnZone;
+    Candidates.push_back(
+        {Group, IsOther ? Settings.ZoneHop : duration::zero()});
+  }
+  return choose(Candidates, Now, Except);
+}
+
+std::optional<group_id>
+zone_choice::choose(std::span<const zone_candidate> Candidates, time_point Now,
+                    const group_id *Except) const {
   std::optional<group_id> Best;
   duration BestCost = duration::max();
   static const group_state NeverHeard;
-  for (const group_id &Group : Groups) {
+  for (const auto &[Group, Hop] : Candidates) {
     const auto Found = States.find(Group);
     const group_state &State =
         Found == States.end() ? NeverHeard : Found->second;
-    const bool IsOther = Group.Zone != OwnZone;
-    const duration Hop = IsOther ? Settings.ZoneHop : duration::zero();
     const bool PassedOver =
         Now < State.SilentUntil || (Except && Group == *Except);
     const duration Cost = expectedWait(State, Now) + Hop +
--- /dev/null
+++ b/src/gateway/event_loop.cpp
@@ -0,0 +1,146 @@
+/// \file
+/// The loop over PollSet, timers and posted work.
+#include "event_loop.h"
+
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Net/StreamSocketImpl.h>
+#include <fmt/format.h>
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+
+namespace agatedale {
+
+namespace {
+
+/// The longest that the loop sleeps without a timer.
+constexpr long MaxSleepMicros = 1'000'000;
+
+/// PollSet rounds down to whole milliseconds; a wait below one would spin.
+constexpr long MinSleepMicros = 1000;
+
+/// PollSet takes sockets only; an eventfd behaves like one when it is polled.
+class event_socket : public Poco::Net::StreamSocket {
+public:
+  explicit event_socket(int File)
+      : StreamSocket(new Poco::Net::StreamSocketImpl(File)) {}
+};
+
+} // namespace
+
+result<std::unique_ptr<event_loop>> event_loop::create() {
+  std::unique_ptr<event_loop> Loop(new event_loop);
+  Loop->WakeUpFile = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+  if (Loop->WakeUpFile < 0)
+    return error{error_kind::Unavailable,
+                 fmt::format("eventfd failed with error {}", errno)};
+  Loop->WakeUp = event_socket(Loop->WakeUpFile);
+  Loop->Sockets.add(Loop->WakeUp, Poco::Net::PollSet::POLL_READ);
+  return Loop;
+}
+
+void event_loop::watch(const Poco::Net::Socket &Socket, int Modes,
+                       socket_handler Handler) {
+  Handlers[Socket.impl()] =
+      std::make_shared<socket_handler>(std::move(Handler));
+  Sockets.add(Socket, Modes);
+}
+
+void event_loop::change(const Poco::Net::Socket &Socket, int Modes) {
+  Sockets.update(Socket, Modes);
+}
+
+void event_loop::forget(const Poco::Net::Socket &Socket) {
+  if (Handlers.erase(Socket.impl()) > 0)
+    Sockets.remove(Socket);
+}
+
+event_loop::timer_id event_loop::after(duration Delay, task Task) {
+  const timer_id Timer = ++LastTimer;
+  const time_point At = bootNow() + Delay;
+  Timers.emplace(std::pair{At, Timer}, std::move(Task));
+  TimerTimes.emplace(Timer, At);
+  return Timer;
+}
+
+void event_loop::cancel(timer_id Timer) {
+  const auto Found = TimerTimes.find(Timer);
+  if (Found == TimerTimes.end())
+    return;
+  Timers.erase({Found->second, Timer});
+  TimerTimes.erase(Found);
+}
+
+void event_loop::post(task Task) {
+  {
+    const std::lock_guard Guard(PostLock);
+    Posted.push_back(std::move(Task));
+    if (Posted.size() > 1)
+      return;
+  }
+  wake();
+}
+
+void event_loop::wake() {
+  const std::uint64_t One = 1;
+  // A full counter wakes the loop as well, so the result does not matter.
+  [[maybe_unused]] const auto Written = ::write(WakeUpFile, &One, sizeof(One));
+}
+
+void event_loop::drainWakeUps() {
+  std::uint64_t Count = 0;
+  [[maybe_unused]] const auto Read = ::read(WakeUpFile, &Count, sizeof(Count));
+}
+
+void event_loop::runPosted() {
+  std::vector<task> Tasks;
+  {
+    const std::lock_guard Guard(PostLock);
+    Tasks.swap(Posted);
+  }
+  for (const task &Task : Tasks)
+    Task();
+}
+
+void event_loop::runTimers() {
+  const time_point Now = bootNow();
+  while (!Timers.empty() && Timers.begin()->first.first <= Now) {
+    const task Task = std::move(Timers.begin()->second);
+    TimerTimes.erase(Timers.begin()->first.second);
+    Timers.erase(Timers.begin());
+    Task();
+  }
+}
+
+Poco::Timespan event_loop::untilNextTimer() const {
+  if (Timers.empty())
+    return Poco::Timespan(MaxSleepMicros);
+  const long Micros =
+      static_cast<long>(toMicros(Timers.begin()->first.first - bootNow()));
+  return Poco::Timespan(std::clamp(Micros, MinSleepMicros, MaxSleepMicros));
+}
+
+void event_loop::run() {
+  while (!Stopping) {
+    const auto Ready = Sockets.poll(untilNextTimer());
+    for (const auto &[Socket, Modes] : Ready) {
+      if (Socket == WakeUp) {
+        drainWakeUps();
+        continue;
+      }
+      const auto Found = Handlers.find(Socket.impl());
+      if (Found == Handlers.end())
+        continue;
+      // The handler may forget its own socket while it runs.
+      const std::shared_ptr<socket_handler> Handler = Found->second;
+      (*Handler)(Modes);
+    }
+    runPosted();
+    runTimers();
+  }
+}
+
+} // namespace agatedale
--- /dev/null
+++ b/src/gateway/event_loop.h
@@ -0,0 +1,76 @@
+/// \file
+/// Waits for sockets, timers and work from other threads.
+#pragma once
+
+#include "agatedale/result.h"
+#include "gateway_clock.h"
+
+#include <Poco/Net/PollSet.h>
+#include <Poco/Net/Socket.h>
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+namespace agatedale {
+
+/// Runs the handlers of sockets and timers on one thread, which alone touches
+/// the state of the connections. Other threads hand their work in by post().
+///
+///   auto Loop = event_loop::create();
+///   valueOf(Loop)->after(20ms, Tick);
+///   valueOf(Loop)->run();
+class event_loop {
+public:
+  using task = std::function<void()>;
+  using socket_handler = std::function<void(int Modes)>;
+  using timer_id = std::uint64_t;
+
+  static result<std::unique_ptr<event_loop>> create();
+
+  /// Calls \p Handler when \p Socket is ready in one of \p Modes of PollSet.
+  void watch(const Poco::Net::Socket &Socket, int Modes,
+             socket_handler Handler);
+  void change(const Poco::Net::Socket &Socket, int Modes);
+  void forget(const Poco::Net::Socket &Socket);
+
+  /// Calls \p Task once after \p Delay.
+  timer_id after(duration Delay, task Task);
+  void cancel(timer_id Timer);
+
+  /// Calls \p Task soon on the loop's thread; for any thread.
+  void post(task Task);
+
+  /// Runs until stop() is called.
+  void run();
+  void stop() { Stopping = true; }
+
+private:
+  event_loop() = default;
+
+  void runPosted();
+  void runTimers();
+  Poco::Timespan untilNextTimer() const;
+  void wake();
+  void drainWakeUps();
+
+  Poco::Net::PollSet Sockets;
+  std::unordered_map<const Poco::Net::SocketImpl *,
+                     std::shared_ptr<socket_handler>>
+      Handlers;
+  std::map<std::pair<time_point, timer_id>, task> Timers;
+  std::unordered_map<timer_id, time_point> TimerTimes;
+  timer_id LastTimer = 0;
+  std::mutex PostLock;
+  std::vector<task> Posted;
+  Poco::Net::Socket WakeUp;
+  int WakeUpFile = -1;
+  std::atomic<bool> Stopping{false};
+};
+
+} // namespace agatedale
--- /dev/null
+++ b/src/gateway/group_host.h
@@ -0,0 +1,81 @@
+/// \file
+/// The server groups that this VM dispatches for.
+#pragma once
+
+#include "agatedale/gateway_settings.h"
+#include "fleet_view.h"
+#include "forward.h"
+#include "server_pool.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace agatedale {
+
+/// Carries out the decisions of server groups: sends, cancels, delivers and
+/// refuses as they say, and tells them what came of it.
+///
+///   forward_ticket Ticket = Host.submit(Request, Done);
+///   Host.cancel(Ticket);
+class group_host {
+public:
+  group_host(event_loop &Loop, const gateway_settings &Settings)
+      : Loop(Loop), Settings(Settings), Pool(Loop) {}
+
+  /// Takes over the servers of a newer view.
+  void setView(std::shared_ptr<const fleet_view> NewView);
+
+  /// Takes in a request; \p Done is called once unless it is cancelled.
+  forward_ticket submit(forward_request Request, forward_done Done);
+
+  /// Forgets a request whose caller has left. What is queued is not sent; an
+  /// idempotent request that runs is broken off, any other runs to its end.
+  void cancel(forward_ticket Ticket);
+
+  /// Lets time pass in every group.
+  void tick();
+
+  /// Returns the load of \p Group, which this VM may not dispatch for.
+  std::optional<group_load> load(const group_id &Group) const;
+
+  /// Returns the requests that are queued or sent.
+  std::size_t inProgress() const { return Requests.size(); }
+  std::uint64_t connectionsMade() const { return Pool.connectionsMade(); }
+
+private:
+  struct hosted_group {
+    explicit hosted_group(server_group Group) : Group(std::move(Group)) {}
+
+    server_group Group;
+    std::map<attempt_id, std::shared_ptr<server_call>> Calls;
+    std::map<attempt_id, call_result> Answers;
+  };
+
+  struct hosted_request {
+    forward_request Request;
+    forward_done Done;
+    std::string Server; ///< That it was sent to last.
+    int Attempts = 0;
+  };
+
+  hosted_group *findOrCreate(const group_id &Id);
+  void configureGroup(const group_id &Id, hosted_group &Hosted);
+  void carryOut(const group_id &Id, std::vector<group_action> Actions);
+  void send(const group_id &Id, const send_order &Order);
+  void onResult(const group_id &Id, attempt_id Attempt, call_result Result);
+  void cancelCall(const group_id &Id, attempt_id Attempt);
+  void deliver(const group_id &Id, const deliver_order &Order);
+  void refuse(const group_id &Id, const group_refusal &Refusal);
+  void finish(forward_ticket Ticket, forward_answer Answer);
+
+  event_loop &Loop;
+  gateway_settings Settings;
+  server_pool Pool;
+  std::shared_ptr<const fleet_view> View;
+  std::map<group_id, std::unique_ptr<hosted_group>> Groups;
+  std::map<forward_ticket, hosted_request> Requests;
+  forward_ticket LastTicket = 0;
+};
+
+} // namespace agatedale
--- /dev/null
+++ b/src/gateway/http_codec.cpp
@@ -0,0 +1,265 @@
+/// \file
+/// Decoding by Boost.Beast's incremental parsers.
+#include "http_codec.h"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/status.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <fmt/format.h>
+
+#include <array>
+#include <charconv>
+#include <set>
+
+namespace agatedale {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::asio::const_buffer;
+
+constexpr int StatusBadRequest = 400;
+constexpr int StatusBodyTooLarge = 413;
+constexpr int StatusHeadersTooLarge = 431;
+constexpr unsigned FirstFinalStatus = 200;
+
+constexpr std::array<std::string_view, 9> ConnectionHeaders{
+    "Connection",        "Keep-Alive", "Proxy-Connection", "TE",    "Trailer",
+    "Transfer-Encoding", "Upgrade",    "Content-Length",   "Expect"};
+
+/// Names of headers that concern one connection only.
+class connection_headers {
+public:
+  template <typename Fields> explicit connection_headers(const Fields &From) {
+    for (const auto &Token : http::token_list(From[http::field::connection]))
+      Named.emplace_back(Token);
+  }
+
+  bool contains(std::string_view Name) const {
+    const auto Equals = [Name](std::string_view Other) {
+      return equalNames(Name, Other);
+    };
+    return std::any_of(ConnectionHeaders.begin(), ConnectionHeaders.end(),
+                       Equals) ||
+           std::any_of(Named.begin(), Named.end(), Equals);
+  }
+
+private:
+  std::vector<std::string> Named;
+};
+
+std::string_view toView(boost::beast::string_view Text) {
+  return {Text.data(), Text.size()};
+}
+
+template <typename Fields> header_list endToEndHeaders(const Fields &From) {
+  const connection_headers Skipped(From);
+  header_list Headers;
+  for (const auto &Field : From) {
+    if (!Skipped.contains(toView(Field.name_string())))
+      Headers.add(toView(Field.name_string()), toView(Field.value()));
+  }
+  return Headers;
+}
+
+/// Feeds \p Buffer to \p Parser until the message or the bytes end.
+template <typename Parser>
+decode_state feedParser(Parser &Parse, std::string &Buffer, bool &Begun,
+                        boost::system::error_code &Failure) {
+  std::size_t Used = 0;
+  while (Used < Buffer.size() && !Parse.is_done()) {
+    Begun = true;
+    const std::size_t Count = Parse.put(
+        const_buffer(Buffer.data() + Used, Buffer.size() - Used), Failure);
+    Used += Count;
+    if (Failure == http::error::need_more) {
+      Failure = {};
+      break;
+    }
+    if (Failure)
+      break;
+  }
+  Buffer.erase(0, Used);
+  if (Failure)
+    return decode_state::Failed;
+  return Parse.is_done() ? decode_state::Complete : decode_state::NeedMore;
+}
+
+/// A request with both a length and chunks could be read in two ways.
+bool isAmbiguous(const http::request<http::string_body> &Request) {
+  return Request.count(http::field::content_length) > 0 &&
+         Request.count(http::field::transfer_encoding) > 0;
+}
+
+} // namespace
+
+struct request_decoder::parser {
+  http::request_parser<http::string_body> Parse;
+};
+
+request_decoder::request_decoder(const message_limits &Limits)
+    : Parser(std::make_unique<parser>()) {
+  Parser->Parse.eager(true);
+  Parser->Parse.header_limit(Limits.HeaderBytes);
+  Parser->Parse.body_limit(Limits.BodyBytes);
+}
+
+request_decoder::~request_decoder() = default;
+
+decode_state request_decoder::feed(std::string &Buffer) {
+  boost::system::error_code Failure;
+  const decode_state State = feedParser(Parser->Parse, Buffer, Begun, Failure);
+  if (State == decode_state::Failed) {
+    FailureStatus = Failure == http::error::header_limit ? StatusHeadersTooLarge
+                    : Failure == http::error::body_limit ? StatusBodyTooLarge
+                                                         : StatusBadRequest;
+    return State;
+  }
+  if (State == decode_state::Complete && isAmbiguous(Parser->Parse.get())) {
+    FailureStatus = StatusBadRequest;
+    return decode_state::Failed;
+  }
+  return State;
+}
+
+http_request_message request_decoder::take() {
+  http::request<http::string_body> Request = Parser->Parse.release();
+  http_request_message Message;
+  Message.Method = toView(Request.method_string());
+  Message.Target = toView(Request.target());
+  Message.Headers = endToEndHeaders(Request);
+  Message.Body = std::move(Request.body());
+  return Message;
+}
+
+bool request_decoder::headerDone() const {
+  return Parser->Parse.is_header_done();
+}
+
+bool request_decoder::keepsAlive() const { return Parser->Parse.keep_alive(); }
+
+bool request_decoder::expectsContinue() const {
+  return headerDone() && !Parser->Parse.is_done() &&
+         boost::beast::iequals(Parser->Parse.get()[http::field::expect],
+                               "100-continue");
+}
+
+struct answer_decoder::parser {
+  http::response_parser<http::string_body> Parse;
+};
+
+answer_decoder::answer_decoder(const message_limits &Limits, bool ToHead)
+    : Limits(Limits), ToHead(ToHead) {
+  restart();
+}
+
+answer_decoder::~answer_decoder() = default;
+
+void answer_decoder::restart() {
+  Parser = std::make_unique<parser>();
+  Parser->Parse.eager(true);
+  Parser->Parse.skip(ToHead);
+  Parser->Parse.header_limit(Limits.HeaderBytes);
+  Parser->Parse.body_limit(Limits.BodyBytes);
+}
+
+decode_state answer_decoder::feed(std::string &Buffer) {
+  while (true) {
+    boost::system::error_code Failure;
+    const decode_state State =
+        feedParser(Parser->Parse, Buffer, Begun, Failure);
+    const bool IsInterim = State == decode_state::Complete &&
+                           Parser->Parse.get().result_int() < FirstFinalStatus;
+    if (!IsInterim)
+      return State;
+    restart();
+    if (Buffer.empty())
+      return decode_state::NeedMore;
+  }
+}
+
+decode_state answer_decoder::end() {
+  if (!Begun || !Parser->Parse.is_header_done())
+    return decode_state::Failed;
+  boost::system::error_code Failure;
+  Parser->Parse.put_eof(Failure);
+  return !Failure && Parser->Parse.is_done() ? decode_state::Complete
+                                             : decode_state::Failed;
+}
+
+http_answer_message answer_decoder::take() {
+  http::response<http::string_body> Answer = Parser->Parse.release();
+  http_answer_message Message;
+  Message.Status = static_cast<int>(Answer.result_int());
+  Message.Headers = endToEndHeaders(Answer);
+  Message.Body = std::move(Answer.body());
+  return Message;
+}
+
+bool answer_decoder::keepsAlive() const { return Parser->Parse.keep_alive(); }
+
+std::optional<std::chrono::seconds> answer_decoder::idleTimeout() const {
+  const std::string_view Text =
+      toView(Parser->Parse.get()[http::field::keep_alive]);
+  constexpr std::string_view Key = "timeout=";
+  const std::size_t At = Text.find(Key);
+  if (At == std::string_view::npos)
+    return std::nullopt;
+  int Seconds = 0;
+  const char *Begin = Text.data() + At + Key.size();
+  if (std::from_chars(Begin, Text.data() + Text.size(), Seconds).ptr == Begin)
+    return std::nullopt;
+  return std::chrono::seconds(Seconds);
+}
+
+namespace {
+
+void appendHeaders(std::string &Bytes, const header_list &Headers) {
+  for (const auto &[Name, Value] : Headers.all())
+    Bytes += fmt::format("{}: {}\r\n", Name, Value);
+}
+
+/// Statuses whose answers never have a body.
+bool hasNoBody(int Status) {
+  constexpr int NoContent = 204;
+  constexpr int NotModified = 304;
+  return Status == NoContent || Status == NotModified;
+}
+
+} // namespace
+
+std::string encodeRequest(const http_request_message &Request,
+                          const std::string &Host) {
+  std::string Bytes =
+      fmt::format("{} {} HTTP/1.1\r\n", Request.Method, Request.Target);
+  appendHeaders(Bytes, Request.Headers);
+  if (!Request.Headers.has("Host"))
+    Bytes += fmt::format("Host: {}\r\n", Host);
+  const bool HasBody = !Request.Body.empty() || Request.Method == "POST" ||
+                       Request.Method == "PUT" || Request.Method == "PATCH";
+  if (HasBody)
+    Bytes += fmt::format("Content-Length: {}\r\n", Request.Body.size());
+  Bytes += "\r\n";
+  Bytes += Request.Body;
+  return Bytes;
+}
+
+std::string encodeAnswer(const http_answer_message &Answer, bool ToHead,
+                         bool Close) {
+  const auto Reason =
+      http::obsolete_reason(static_cast<http::status>(Answer.Status));
+  std::string Bytes =
+      fmt::format("HTTP/1.1 {} {}\r\n", Answer.Status, toView(Reason));
+  appendHeaders(Bytes, Answer.Headers);
+  if (!ToHead && !hasNoBody(Answer.Status))
+    Bytes += fmt::format("Content-Length: {}\r\n", Answer.Body.size());
+  if (Close)
+    Bytes += "Connection: close\r\n";
+  Bytes += "\r\n";
+  if (!ToHead)
+    Bytes += Answer.Body;
+  return Bytes;
+}
+
+} // namespace agatedale
--- /dev/null
+++ b/src/gateway/knowledge.cpp
@@ -0,0 +1,199 @@
+/// \file
+/// Reading, decoding, and what stays when rows lapse.
+#include "knowledge.h"
+
+#include "../core/log.h"
+#include "platform/decode.h"
+#include "platform/names.h"
+
+namespace agatedale {
+
+namespace {
+
+/// A store that was silent for this long may have dropped servers that live.
+constexpr duration OutageLength = std::chrono::milliseconds(1200);
+
+/// Servers that live are listed again within two seconds after an outage.
+constexpr duration LapseHold = std::chrono::milliseconds(1800);
+
+} // namespace
+
+void knowledge::tick() {
+  const time_point Now = bootNow();
+  if (HoldEnds && Now >= HoldUntil) {
+    HoldEnds = false;
+    rebuild();
+  }
+  if (Reading)
+    return;
+  const auto Read = Follower.next(Mirror, Vms.readerRank(Now), Now);
+  if (!Read)
+    return;
+  Reading = true;
+  Worker.read(*Read, [this, Read = *Read](const result<table_news> &News) {
+    onRead(Read, News);
+  });
+}
+
+void knowledge::onRead(const store_read &Read, const result<table_news> &News) {
+  Reading = false;
+  if (const error *Error = errorOf(News)) {
+    if (Error->Kind == error_kind::NotFound)
+      Follower.onForgotten(Read.Table);
+    else
+      Follower.onFailure(bootNow());
+    logLine(log_level::Warning, "store-read-failed",
+            {{"table", platform::tableName(Read.Table)},
+             {"why", Error->Message},
+             {"known_for_ms", toMillis(bootNow() - Mirror.asOf())}});
+    return;
+  }
+  Follower.onAnswer(Read.Table, Read.Whole);
+  onStoreAnswered();
+  apply(valueOf(News));
+  Mirror.vouch(valueOf(News).Position, valueOf(News).AsOf);
+  Handlers.OnStore();
+  tick();
+}
+
+void knowledge::onStoreAnswered() {
+  const time_point Now = bootNow();
+  const bool WasAway =
+      AnsweredAt > time_point{} && Now - Mirror.asOf() > OutageLength;
+  AnsweredAt = Now;
+  if (!WasAway)
+    return;
+  logLine(log_level::Info, "store-back",
+          {{"away_ms", toMillis(Now - Mirror.asOf())}});
+  HoldUntil = Now + LapseHold;
+  HoldEnds = true;
+}
+
+void knowledge::takeNews(const table_news &News) { apply(News); }
+
+void knowledge::apply(const table_news &News) {
+  const store_mirror::apply_result Result = Mirror.apply(News);
+  if (Result == store_mirror::apply_result::Changed) {
+    if (News.Table == store_table::Vms)
+      Handlers.OnVms();
+    else
+      rebuild();
+  }
+}
+
+std::vector<entry_vm> knowledge::listedVms() const {
+  std::vector<entry_vm> Listed;
+  for (const auto &[Key, Row] : Mirror.rows(store_table::Vms)) {
+    const result<entry_vm> Vm = platform::decodeVm(Key, Row.Value);
+    if (const error *Error = errorOf(Vm))
+      logLine(log_level::Warning, "row-unreadable", {{"why", Error->Message}});
+    else
+      Listed.push_back(valueOf(Vm));
+  }
+  return Listed;
+}
+
+std::uint64_t knowledge::vmRowVersion(const std::string &Vm) const {
+  const auto &Rows = Mirror.rows(store_table::Vms);
+  const auto Found = Rows.find(Vm);
+  return Found == Rows.end() ? 0 : Found->second.Version;
+}
+
+void knowledge::decodeRules() {
+  const auto &Rows = Mirror.rows(store_table::Operators);
+  const auto Row = Rows.find(std::string(platform::ConfigurationKey));
+  if (Row == Rows.end() || Row->second.Version == RulesRowVersion)
+    return;
+  RulesRowVersion = Row->second.Version;
+  const auto Read = platform::decodeConfiguration(Row->second.Value);
+  if (const error *Error = errorOf(Read)) {
+    logLine(log_level::Error, "configuration-refused",
+            {{"why", Error->Message}, {"in_force", RulesVersion}});
+    return;
+  }
+  if (valueOf(Read).Version <= RulesVersion && Rules) {
+    logLine(log_level::Warning, "configuration-older",
+            {{"offered", valueOf(Read).Version}, {"in_force", RulesVersion}});
+    return;
+  }
+  Rules = valueOf(Read).Parts;
+  RulesVersion = valueOf(Read).Version;
+}
+
+std::vector<availability_zone> knowledge::zones() const {
+  std::map<std::string, availability_zone> Zones;
+  for (const auto &[Name, Region] : Settings.Zones)
+    Zones[Name] = {Name, Region, false};
+  for (const auto &[Key, Row] : Mirror.rows(store_table::Operators)) {
+    const auto Zone = platform::zoneTakenOut(Key);
+    if (Zone && Zones.contains(*Zone))
+      Zones[*Zone].Out = true;
+  }
+  std::vector<availability_zone> List;
+  for (const auto &[Name, Zone] : Zones)
+    List.push_back(Zone);
+  return List;
+}
+
+void knowledge::keepLapsed(std::map<std::string, backend_server> &Servers) {
+  if (bootNow() >= HoldUntil)
+    return;
+  for (const auto &[Name, Server] : LastServers) {
+    if (!Server.Leaving)
+      Servers.emplace(Name, Server);
+  }
+}
+
+std::vector<backend_server> knowledge::decodeServers() {
+  std::map<std::string, backend_server> Servers;
+  for (const auto &[Key, Row] : Mirror.rows(store_table::Servers)) {
+    const result<backend_server> Server =
+        platform::decodeServer(Key, Row.Value);
+    if (const error *Error = errorOf(Server)) {
+      // A row that stays unreadable is told once.
+      if (std::exchange(BadRows[Key], Row.Version) != Row.Version)
+        logLine(log_level::Warning, "row-unreadable",
+                {{"why", Error->Message}});
+      continue;
+    }
+    Servers.emplace(Key, valueOf(Server));
+  }
+  keepLapsed(Servers);
+  LastServers = Servers;
+  std::vector<backend_server> List;
+  for (const auto &[Key, Server] : Servers)
+    List.push_back(Server);
+  return List;
+}
+
+void knowledge::rebuild() {
+  const std::uint64_t Before = RulesVersion;
+  decodeRules();
+  std::vector<backend_server> Servers = decodeServers();
+  if (!Rules)
+    return;
+  configuration_parts Parts = *Rules;
+  Parts.Servers = std::move(Servers);
+  Parts.Zones = zones();
+  result<configuration> World = configuration::fromParts(std::move(Parts));
+  if (const error *Error = errorOf(World)) {
+    logLine(log_level::Error, "configuration-refused",
+            {{"why", Error->Message}, {"in_force", Before}});
+    return;
+  }
+  const auto Next = std::make_shared<fleet_view>();
+  Next->Version = RulesVersion;
+  Next->World =
+      std::make_shared<const configuration>(takeValue(std::move(World)));
+  Next->AsOf = Mirror.asOf();
+  View = Next;
+  if (RulesVersion != Before)
+    logLine(log_level::Info, "configuration-in-force",
+            {{"version", RulesVersion},
+             {"before", Before},
+             {"age_ms",
+              toMillis(bootNow() - Mirror.asOf(store_table::Operators))}});
+  Handlers.OnView();
+}
+
+} // namespace agatedale
--- /dev/null
+++ b/src/gateway/knowledge.h
@@ -0,0 +1,86 @@
+/// \file
+/// What a gateway knows: the store's tables, and the view decoded from them.
+#pragma once
+
+#include "agatedale/gateway_settings.h"
+#include "agatedale/store_follower.h"
+#include "agatedale/store_mirror.h"
+#include "agatedale/vm_directory.h"
+#include "fleet_view.h"
+#include "store_worker.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+
+namespace agatedale {
+
+/// Follows the store, by reading it or by what peers pass on, and decodes the
+/// rows. The configuration's version never goes back, whatever is read.
+///
+///   Knowledge.tick();
+///   Knowledge.takeNews(News);   // from a peer
+///   std::shared_ptr<const fleet_view> View = Knowledge.view();
+class knowledge {
+public:
+  struct handlers {
+    std::function<void()> OnView;  ///< The view is another one.
+    std::function<void()> OnVms;   ///< The list of entry VMs changed.
+    std::function<void()> OnStore; ///< The store answered.
+  };
+
+  knowledge(const gateway_settings &Settings, vm_directory &Vms,
+            store_worker &Worker, handlers Handlers)
+      : Settings(Settings), Vms(Vms), Worker(Worker),
+        Handlers(std::move(Handlers)), Follower({}) {}
+
+  /// Reads the store when that is due.
+  void tick();
+
+  /// Takes in what a peer passed on.
+  void takeNews(const table_news &News);
+
+  /// Returns what the store held, for peers.
+  const store_mirror &mirror() const { return Mirror; }
+
+  /// Returns the view in force, or null before the first configuration.
+  std::shared_ptr<const fleet_view> view() const { return View; }
+
+  /// Returns the entry VMs in the store's list.
+  std::vector<entry_vm> listedVms() const;
+
+  /// Returns the version of the row of \p Vm, or 0.
+  std::uint64_t vmRowVersion(const std::string &Vm) const;
+
+private:
+  void onRead(const store_read &Read, const result<table_news> &News);
+  void onStoreAnswered();
+  void apply(const table_news &News);
+  void rebuild();
+  void decodeRules();
+  std::vector<backend_server> decodeServers();
+  std::vector<availability_zone> zones() const;
+  void keepLapsed(std::map<std::string, backend_server> &Servers);
+
+  gateway_settings Settings;
+  vm_directory &Vms;
+  store_worker &Worker;
+  handlers Handlers;
+  store_mirror Mirror;
+  store_follower Follower;
+  bool Reading = false;
+  std::shared_ptr<const fleet_view> View;
+  std::optional<configuration_parts> Rules;
+  std::uint64_t RulesVersion = 0;
+  std::uint64_t RulesRowVersion = 0;
+  std::map<std::string, backend_server> LastServers;
+  std::map<std::string, std::uint64_t> BadRows; ///< Logged, by row version.
+  time_point AnsweredAt{};
+  time_point HoldUntil{}; ///< Lapsed servers are kept until then.
+  bool HoldEnds = false;
+};
+
+} // namespace agatedale
--- /dev/null
+++ b/src/gateway/listener.cpp
@@ -0,0 +1,68 @@
+/// \file
+/// The listening socket and its connections.
+#include "listener.h"
+
+#include "../core/log.h"
+
+#include <Poco/Net/NetException.h>
+#include <fmt/format.h>
+
+namespace agatedale {
+
+namespace {
+
+/// Connections that wait to be accepted; callers come in bursts.
+constexpr int Backlog = 512;
+
+/// Connections accepted in a row before others get their turn.
+constexpr int MaxAcceptsInRow = 32;
+
+} // namespace
+
+listener::listener(event_loop &Loop, serve Serve)
+    : Loop(Loop), Context(std::make_shared<caller_connection::context>()) {
+  Context->Serve = std::move(Serve);
+  Context->Opened = [this](const auto &Connection) { Open.insert(Connection); };
+  Context->Closed = [this](const auto &Connection) { Open.erase(Connection); };
+}
+
+result<std::unique_ptr<listener>>
+listener::open(event_loop &Loop, const std::string &Address, serve Serve) {
+  std::unique_ptr<listener> Listener(new listener(Loop, std::move(Serve)));
+  try {
+    Listener->Socket.bind(Poco::Net::SocketAddress(Address), true);
+    Listener->Socket.listen(Backlog);
+    Listener->Socket.setBlocking(false);
+  } catch (const Poco::Exception &Failure) {
+    return error{
+        error_kind::Unavailable,
+        fmt::format("cannot listen at {}: {}", Address, Failure.displayText())};
+  }
+  Loop.watch(Listener->Socket, Poco::Net::PollSet::POLL_READ,
+             [Raw = Listener.get()](int) { Raw->acceptAll(); });
+  return Listener;
+}
+
+listener::~listener() { Loop.forget(Socket); }
+
+void listener::acceptAll() {
+  for (int I = 0; I < MaxAcceptsInRow; ++I) {
+    try {
+      if (!Socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
+        return;
+      caller_connection::open(Loop, Socket.acceptConnection(), Context);
+    } catch (const Poco::Exception &Failure) {
+      logLine(log_level::Warning, "accept-failed",
+              {{"why", Failure.displayText()}});
+      return;
+    }
+  }
+}
+
+void listener::closeIdle() {
+  const auto Connections = Open;
+  for (const std::shared_ptr<caller_connection> &Connection : Connections)
+    Connection->closeIfIdle();
+}
+
+} // namespace agatedale
--- /dev/null
+++ b/src/gateway/listener.h
@@ -0,0 +1,43 @@
+/// \file
+/// Accepts callers' connections.
+#pragma once
+
+#include "caller_connection.h"
+
+#include <Poco/Net/ServerSocket.h>
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace agatedale {
+
+/// A listening address with the connections that were accepted on it.
+///
+///   auto Listener = listener::open(Loop, "10.0.0.1:8080", Serve);
+class listener {
+public:
+  using serve = std::function<void(std::shared_ptr<caller_exchange>)>;
+
+  static result<std::unique_ptr<listener>>
+  open(event_loop &Loop, const std::string &Address, serve Serve);
+  ~listener();
+
+  void setLimits(const caller_limits &Limits) { Context->Limits = Limits; }
+
+  /// From now on every answer says that its connection ends.
+  void endConnections() { Context->Stopping = true; }
+  void closeIdle();
+  std::size_t connections() const { return Open.size(); }
+
+private:
+  listener(event_loop &Loop, serve Serve);
+  void acceptAll();
+
+  event_loop &Loop;
+  Poco::Net::ServerSocket Socket;
+  std::shared_ptr<caller_connection::context> Context;
+  std::set<std::shared_ptr<caller_connection>> Open;
+};
+
+} // namespace agatedale
--- /dev/null
+++ b/src/gateway/peer_hub.cpp
@@ -0,0 +1,266 @@
+/// \file
+/// gRPC's callback interface, tied to the event loop.
+#include "peer_hub.h"
+
+#include "gateway.grpc.pb.h"
+
+#include <fmt/format.h>
+#include <grpcpp/grpcpp.h>
+#include <grpcpp/resource_quota.h>
+
+#include <atomic>
+#include <map>
+
+namespace agatedale {
+
+namespace {
+
+// A connection that does not answer pings while calls wait counts as lost.
+constexpr int PingIntervalMs = 1000;
+constexpr int PingTimeoutMs = 1000;
+
+// A lost peer is tried again soon: it may be back within a second.
+constexpr int FirstReconnectMs = 100;
+constexpr int LongestReconnectMs = 1000;
+
+/// The largest message: a request's body and its headers.
+constexpr int MaxMessageBytes = 80 << 20;
+
+std::chrono::system_clock::time_point deadlineIn(duration Length) {
+  return std::chrono::system_clock::now() +
+         std::chrono::duration_cast<std::chrono::system_clock::duration>(
+             Length);
+}
+
+/// A call of a peer. It is finished once, whether or not the peer still waits.
+class incoming_call : public grpc::ServerUnaryReactor {
+public:
+  incoming_call(event_loop &Loop, const peer_hub::handlers &Handlers)
+      : State(std::make_shared<state>(Loop, Handlers)) {
+    State->Reactor = this;
+  }
+
+  /// Hands the request to the loop.
+  void begin(const wire_gateway::Forward *Request,
+             wire_gateway::Forwarded *Reply) {
+    State->Loop.post([State = State, Request, Reply] {
+      State->Ticket = State->Handlers.OnForward(
+          *Request, [State, Reply](wire_gateway::Forwarded Answer) {
+            State->finish(Reply, std::move(Answer));
+          });
+      if (State->CancelWanted)
+        State->cancel();
+    });
+  }
+
+  void OnCancel() override {
+    State->Loop.post([State = State] {
+      State->CancelWanted = true;
+      State->cancel();
+    });
+  }
+
+  void OnDone() override { delete this; }
+
+private:
+  /// Touched on the loop's thread only.
+  struct state {
+    state(event_loop &Loop, const peer_hub::handlers &Handlers)
+        : Loop(Loop), Handlers(Handlers) {}
+
+    void finish(wire_gateway::Forwarded *Reply,
+                wire_gateway::Forwarded Answer) {
+      if (Finished)
+        return;
+      Finished = true;
+      *Reply = std::move(Answer);
+      Reactor->Finish(grpc::Status::OK);
+    }
+
+    void cancel() {
+      if (Finished || Ticket == 0)
+        return;
+      Finished = true;
+      Handlers.OnCancel(Ticket);
+      Reactor->Finish(grpc::Status::CANCELLED);
+    }
+
+    event_loop &Loop;
+    const peer_hub::handlers &Handlers;
+    incoming_call *Reactor = nullptr;
+    forward_ticket Ticket = 0;
+    bool CancelWanted = false;
+    bool Finished = false;
+  };
+
+  std::shared_ptr<state> State;
+};
+
+/// A heartbeat of a peer.
+class incoming_heartbeat : public grpc::ServerUnaryReactor {
+public:
+  void OnDone() override { delete this; }
+};
+
+class gateway_service final : public wire_gateway::Gateway::CallbackService {
+public:
+  gateway_service(event_loop &Loop, peer_hub::handlers Handlers)
+      : Loop(Loop), Handlers(std::move(Handlers)) {}
+
+  grpc::ServerUnaryReactor *Exchange(grpc::CallbackServerContext *,
+                                     const wire_gateway::Heartbeat *Request,
+                                     wire_gateway::Heartbeat *Reply) override {
+    auto *Reactor = new incoming_heartbeat;
+    Loop.post([this, Reactor, Request, Reply] {
+      *Reply = Handlers.OnHeartbeat(*Request);
+      Reactor->Finish(grpc::Status::OK);
+    });
+    return Reactor;
+  }
+
+  grpc::ServerUnaryReactor *Serve(grpc::CallbackServerContext *,
+                                  const wire_gateway::Forward *Request,
+                                  wire_gateway::Forwarded *Reply) override {
+    auto *Call = new incoming_call(Loop, Handlers);
+    Call->begin(Request, Reply);
+    return Call;
+  }
+
+private:
+  event_loop &Loop;
+  peer_hub::handlers Handlers;
+};
+
+/// A call to a peer with all that gRPC writes to until it ends.
+template <typename Request, typename Reply> struct outgoing_call {
+  grpc::ClientContext Context;
+  Request Message;
+  Reply Answer;
+};
+
+} // namespace
+
+class peer_hub::impl {
+public:
+  impl(event_loop &Loop, handlers Handlers)
+      : Loop(Loop), Service(Loop, std::move(Handlers)) {}
+
+  struct peer {
+    std::string Address;
+    std::shared_ptr<grpc::Channel> Channel;
+    std::shared_ptr<wire_gateway::Gateway::Stub> Stub;
+  };
+
+  peer &find(const entry_vm &Vm) {
+    peer &Peer = Peers[Vm.Id.Name];
+    const std::string Address = fmt::format("{}:{}", Vm.Ip, Port);
+    if (Peer.Address == Address)
+      return Peer;
+    grpc::ChannelArguments Arguments;
+    Arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, PingIntervalMs);
+    Arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, PingTimeoutMs);
+    Arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+    Arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, FirstReconnectMs);
+    Arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, LongestReconnectMs);
+    Arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, LongestReconnectMs);
+    Arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    Arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    Arguments.SetMaxReceiveMessageSize(MaxMessageBytes);
+    Peer.Address = Address;
+    Peer.Channel = grpc::CreateCustomChannel(
+        "ipv4:" + Address, grpc::InsecureChannelCredentials(), Arguments);
+    Peer.Stub = wire_gateway::Gateway::NewStub(Peer.Channel);
+    return Peer;
+  }
+
+  event_loop &Loop;
+  gateway_service Service;
+  std::unique_ptr<grpc::Server> Server;
+  std::uint16_t Port = 0;
+  std::map<std::string, peer> Peers;
+};
+
+peer_hub::peer_hub(std::unique_ptr<impl> Impl) : Impl(std::move(Impl)) {}
+peer_hub::~peer_hub() = default;
+
+result<std::unique_ptr<peer_hub>> peer_hub::start(event_loop &Loop,
+                                                  const std::string &Ip,
+                                                  std::uint16_t Port,
+                                                  handlers Handlers) {
+  auto Impl = std::make_unique<impl>(Loop, std::move(Handlers));
+  Impl->Port = Port;
+  grpc::ServerBuilder Builder;
+  const std::string Address = fmt::format("{}:{}", Ip, Port);
+  Builder.AddListeningPort(Address, grpc::InsecureServerCredentials());
+  Builder.SetMaxReceiveMessageSize(MaxMessageBytes);
+  Builder.AddChannelArgument(
+      GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
+      PingIntervalMs / 2);
+  Builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
+  Builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  Builder.RegisterService(&Impl->Service);
+  Impl->Server = Builder.BuildAndStart();
+  if (!Impl->Server)
+    return error{error_kind::Unavailable,
+                 fmt::format("cannot listen for peers at {}", Address)};
+  return std::unique_ptr<peer_hub>(new peer_hub(std::move(Impl)));
+}
+
+void peer_hub::heartbeat(const entry_vm &Vm,
+                         const wire_gateway::Heartbeat &Message,
+                         duration Timeout, heartbeat_done Done) {
+  using call = outgoing_call<wire_gateway::Heartbeat, wire_gateway::Heartbeat>;
+  const auto Call = std::make_shared<call>();
+  Call->Message = Message;
+  Call->Context.set_deadline(deadlineIn(Timeout));
+  Impl->find(Vm).Stub->async()->Exchange(
+      &Call->Context, &Call->Message, &Call->Answer,
+      [this, Call, Done = std::move(Done)](const grpc::Status &Status) {
+        Impl->Loop.post([Call, Done, Good = Status.ok()] {
+          Done(Good ? &Call->Answer : nullptr);
+        });
+      });
+}
+
+bool peer_hub::isConnected(const entry_vm &Peer) {
+  return Impl->find(Peer).Channel->GetState(true) == GRPC_CHANNEL_READY;
+}
+
+peer_hub::cancel_call peer_hub::forward(const entry_vm &Vm,
+                                        const wire_gateway::Forward &Message,
+                                        duration Timeout, forwarded_done Done) {
+  using call = outgoing_call<wire_gateway::Forward, wire_gateway::Forwarded>;
+  if (!isConnected(Vm)) {
+    Impl->Loop.post(
+        [Done = std::move(Done)] { Done(nullptr, peer_failure::NotSent); });
+    return [] {};
+  }
+  const auto Call = std::make_shared<call>();
+  Call->Message = Message;
+  Call->Context.set_deadline(deadlineIn(Timeout));
+  Impl->find(Vm).Stub->async()->Serve(
+      &Call->Context, &Call->Message, &Call->Answer,
+      [this, Call, Done = std::move(Done)](const grpc::Status &Status) {
+        Impl->Loop.post([Call, Done, Good = Status.ok()] {
+          Done(Good ? &Call->Answer : nullptr, peer_failure::Lost);
+        });
+      });
+  return [Weak = std::weak_ptr<call>(Call)] {
+    if (const auto Running = Weak.lock())
+      Running->Context.TryCancel();
+  };
+}
+
+void peer_hub::keepOnly(std::span<const entry_vm> Peers) {
+  std::erase_if(Impl->Peers, [Peers](const auto &Entry) {
+    return std::none_of(
+        Peers.begin(), Peers.end(),
+        [&Entry](const entry_vm &Vm) { return Vm.Id.Name == Entry.first; });
+  });
+}
+
+void peer_hub::stop(duration Grace) {
+  Impl->Server->Shutdown(deadlineIn(Grace));
+}
+
+} // namespace agatedale
--- /dev/null
+++ b/src/gateway/server_pool.h
@@ -0,0 +1,79 @@
+/// \file
+/// Connections to backend servers.
+#pragma once
+
+#include "agatedale/server_group.h"
+#include "forward.h"
+#include "http_codec.h"
+#include "tcp_stream.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace agatedale {
+
+/// What became of one sending of a request.
+struct call_result {
+  attempt_outcome Outcome = attempt_outcome::NotSent;
+  http_answer_message Answer; ///< When there is one to deliver.
+  std::optional<server_report> Report;
+};
+
+class server_connection;
+
+/// A request that was sent to a server and is not answered yet.
+class server_call {
+public:
+  using done = std::function<void(call_result Result)>;
+
+  /// Breaks the call off by closing its connection; done is not called.
+  void cancel();
+
+private:
+  friend class server_connection;
+  friend class server_pool;
+
+  send_order Order;
+  std::string RequestId;
+  std::string Bytes;
+  bool ToHead = false;
+  done Done;
+  std::shared_ptr<server_connection> Connection;
+  event_loop::timer_id Timer = 0;
+};
+
+/// Keeps idle connections to backend servers and sends one request at a time on
+/// each. A connection on which anything unexpected arrived is closed; bytes
+/// that come when no request waits belong to nobody.
+///
+///   auto Call = Pool.send(Order, Request, Done);
+class server_pool {
+public:
+  explicit server_pool(event_loop &Loop) : Loop(Loop) {}
+
+  std::shared_ptr<server_call> send(const send_order &Order,
+                                    const forward_request &Request,
+                                    server_call::done Done);
+
+  /// Closes the idle connections to \p Address.
+  void dropIdle(const std::string &Address);
+
+  std::uint64_t connectionsMade() const { return ConnectionsMade; }
+
+private:
+  friend class server_connection;
+
+  std::shared_ptr<server_connection> takeIdle(const send_order &Order);
+  void giveBack(const std::shared_ptr<server_connection> &Connection);
+  void remove(const server_connection *Connection);
+
+  event_loop &Loop;
+  std::map<std::string, std::vector<std::shared_ptr<server_connection>>> Idle;
+  std::uint64_t ConnectionsMade = 0;
+};
+
+} // namespace agatedale
--- /dev/null
+++ b/src/gateway/store_worker.h
@@ -0,0 +1,64 @@
+/// \file
+/// Calls to the store on a thread of their own.
+#pragma once
+
+#include "agatedale/store_follower.h"
+#include "event_loop.h"
+#include "platform/store_client.h"
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace agatedale {
+
+/// Carries out one call after another, so that a slow store delays no request.
+/// What comes back is handed to the event loop.
+///
+///   Worker->read(Read, [](const result<table_news> &News) { ... });
+class store_worker {
+public:
+  using news_done = std::function<void(const result<table_news> &News)>;
+  using write_done = std::function<void(const result<success> &Done)>;
+
+  static result<std::unique_ptr<store_worker>>
+  start(event_loop &Loop, const std::string &Address);
+  ~store_worker();
+
+  void read(const store_read &Read, news_done Done);
+  void write(store_table Table, std::string Key, std::string Value,
+             write_done Done);
+  void remove(store_table Table, std::string Key, std::uint64_t Version,
+              write_done Done);
+
+private:
+  using job = std::function<void(platform::store_client &Client)>;
+
+  store_worker(event_loop &Loop, std::unique_ptr<platform::store_client> Reader,
+               std::unique_ptr<platform::store_client> Writer);
+
+  /// A queue of jobs with the thread and the connection that they run on.
+  struct lane {
+    std::unique_ptr<platform::store_client> Client;
+    std::mutex Lock;
+    std::condition_variable Changed;
+    std::deque<job> Jobs;
+    bool Stopping = false;
+    std::thread Thread;
+
+    void add(job Job);
+    void run();
+    void stop();
+  };
+
+  event_loop &Loop;
+  // A read may wait for a change; writes do not wait behind it.
+  lane Reads;
+  lane Writes;
+};
+
+} // namespace agatedale
--- /dev/null
+++ b/src/gateway/wire_convert.cpp
@@ -0,0 +1,156 @@
+/// \file
+/// Field by field conversion of messages between gateways.
+#include "wire_convert.h"
+
+#include <algorithm>
+
+namespace agatedale {
+
+namespace {
+
+namespace wire = agatedale::gateway;
+
+template <typename Message>
+void putHeaders(const header_list &Headers, Message &Out) {
+  for (const auto &[Name, Value] : Headers.all()) {
+    wire::Header &Header = *Out.add_headers();
+    Header.set_name(Name);
+    Header.set_value(Value);
+  }
+}
+
+template <typename Message> header_list takeHeaders(const Message &In) {
+  header_list Headers;
+  for (const wire::Header &Header : In.headers())
+    Headers.add(Header.name(), Header.value());
+  return Headers;
+}
+
+std::uint32_t millisLeft(time_point Until, time_point Now) {
+  return static_cast<std::uint32_t>(
+      std::max<std::int64_t>(toMillis(Until - Now), 0));
+}
+
+} // namespace
+
+wire::Forward toMessage(const forward_request &Request, time_point Now) {
+  wire::Forward Message;
+  Message.set_group(toText(Request.Group));
+  Message.set_route(Request.Route);
+  Message.set_method(Request.Message.Method);
+  Message.set_target(Request.Message.Target);
+  putHeaders(Request.Message.Headers, Message);
+  Message.set_body(Request.Message.Body);
+  Message.set_deadline_ms(millisLeft(Request.Deadline, Now));
+  if (Request.Aim > time_point{})
+    Message.set_aim_ms(static_cast<std::int32_t>(toMillis(Request.Aim - Now)));
+  Message.set_priority(Request.Priority);
+  Message.set_idempotent(Request.Idempotent);
+  Message.set_max_attempts(static_cast<std::uint32_t>(Request.MaxAttempts));
+  Message.set_id(Request.Id);
+  Message.set_relayed(Request.Relayed);
+  return Message;
+}
+
+result<forward_request> fromMessage(const wire::Forward &Message,
+                                    time_point Now) {
+  const result<group_id> Group = parseGroupId(Message.group());
+  if (const error *Error = errorOf(Group))
+    return *Error;
+  forward_request Request;
+  Request.Group = valueOf(Group);
+  Request.Route = Message.route();
+  Request.Message.Method = Message.method();
+  Request.Message.Target = Message.target();
+  Request.Message.Headers = takeHeaders(Message);
+  Request.Message.Body = Message.body();
+  Request.Deadline = Now + std::chrono::milliseconds(Message.deadline_ms());
+  if (Message.aim_ms() != 0)
+    Request.Aim = Now + std::chrono::milliseconds(Message.aim_ms());
+  Request.Priority = Message.priority();
+  Request.Idempotent = Message.idempotent();
+  Request.MaxAttempts = static_cast<int>(Message.max_attempts());
+  Request.Id = Message.id();
+  Request.Relayed = Message.relayed();
+  return Request;
+}
+
+wire::Forwarded toMessage(const forward_answer &Answer) {
+  wire::Forwarded Message;
+  Message.set_verdict(static_cast<std::uint32_t>(Answer.Verdict));
+  Message.set_reason(static_cast<std::uint32_t>(Answer.Reason));
+  Message.set_status(static_cast<std::uint32_t>(Answer.Answer.Status));
+  putHeaders(Answer.Answer.Headers, Message);
+  Message.set_body(Answer.Answer.Body);
+  Message.set_come_back_ms(
+      static_cast<std::uint32_t>(toMillis(Answer.ComeBackIn)));
+  Message.set_attempts(static_cast<std::uint32_t>(Answer.Attempts));
+  Message.set_server(Answer.Server);
+  if (Answer.Load) {
+    wire::Load &Load = *Message.mutable_load();
+    Load.set_queued(static_cast<std::uint32_t>(Answer.Load->Queued));
+    Load.set_in_flight(static_cast<std::uint32_t>(Answer.Load->InFlight));
+    Load.set_limit(static_cast<std::uint32_t>(Answer.Load->Limit));
+    Load.set_typical_us(
+        static_cast<std::uint32_t>(toMicros(Answer.Load->Typical)));
+  }
+  return Message;
+}
+
+forward_answer fromMessage(const wire::Forwarded &Message) {
+  forward_answer Answer;
+  // A verdict that is not known here must not be taken for a good one.
+  Answer.Verdict =
+      Message.verdict() > static_cast<std::uint32_t>(verdict::MayHaveRun)
+          ? verdict::MayHaveRun
+          : static_cast<verdict>(Message.verdict());
+  Answer.Reason = static_cast<refusal_reason>(Message.reason());
+  Answer.Answer.Status = static_cast<int>(Message.status());
+  Answer.Answer.Headers = takeHeaders(Message);
+  Answer.Answer.Body = Message.body();
+  Answer.ComeBackIn = std::chrono::milliseconds(Message.come_back_ms());
+  Answer.Attempts = static_cast<int>(Message.attempts());
+  Answer.Server = Message.server();
+  if (Message.has_load()) {
+    group_load Load;
+    Load.Queued = static_cast<int>(Message.load().queued());
+    Load.InFlight = static_cast<int>(Message.load().in_flight());
+    Load.Limit = static_cast<int>(Message.load().limit());
+    Load.Typical = std::chrono::microseconds(Message.load().typical_us());
+    Answer.Load = Load;
+  }
+  return Answer;
+}
+
+wire::TableNews toMessage(const table_news &News, time_point Now) {
+  wire::TableNews Message;
+  Message.set_table(static_cast<std::uint32_t>(News.Table));
+  Message.set_since(News.Since);
+  Message.set_position(News.Position);
+  Message.set_whole(News.Whole);
+  Message.set_age_ms(millisLeft(Now, News.AsOf));
+  for (const stored_row &Row : News.Rows) {
+    wire::Row &Out = *Message.add_rows();
+    Out.set_key(Row.Key);
+    Out.set_value(Row.Value);
+    Out.set_version(Row.Version);
+    Out.set_removed(Row.Removed);
+  }
+  return Message;
+}
+
+result<table_news> fromMessage(const wire::TableNews &Message, time_point Now) {
+  if (Message.table() >= AllStoreTables.size())
+    return error{error_kind::InvalidInput, "news of an unknown table"};
+  table_news News;
+  News.Table = static_cast<store_table>(Message.table());
+  News.Since = Message.since();
+  News.Position = Message.position();
+  News.Whole = Message.whole();
+  News.AsOf = Now - std::chrono::milliseconds(Message.age_ms());
+  for (const wire::Row &Row : Message.rows())
+    News.Rows.push_back({Row.key(), Row.value(), Row.version(), Row.removed()});
+  return News;
+}
+
+} // namespace agatedale
--- /dev/null
+++ b/src/gateway/wire_convert.h
@@ -0,0 +1,24 @@
+/// \file
+/// Messages between gateways to and from the project's types.
+#pragma once
+
+#include "agatedale/store_mirror.h"
+#include "forward.h"
+
+#include "gateway.pb.h"
+
+namespace agatedale {
+
+agatedale::gateway::Forward toMessage(const forward_request &Request,
+                                      time_point Now);
+result<forward_request> fromMessage(const agatedale::gateway::Forward &Message,
+                                    time_point Now);
+
+agatedale::gateway::Forwarded toMessage(const forward_answer &Answer);
+forward_answer fromMessage(const agatedale::gateway::Forwarded &Message);
+
+agatedale::gateway::TableNews toMessage(const table_news &News, time_point Now);
+result<table_news> fromMessage(const agatedale::gateway::TableNews &Message,
+                               time_point Now);
+
+} // namespace agatedale
