--- a/include/agatedale/server_group.h
+++ b/include/agatedale/server_group.h
@@ -54,6 +54,13 @@
   int Running = 0;
   int Waiting = 0;
   double Slowness = 1; ///< How long work takes there now; 1 is as usual.
+  std::optional<duration> ColdLeft; ///< How much longer it stays cold.
+};
+
+/// Order to ask a server how fast it is now.
+struct ask_order {
+  std::string Server;
+  std::string Address;
 };
 
 /// Order to hand an attempt's answer to the caller.
@@ -62,8 +69,8 @@
   attempt_id Attempt = 0;
 };
 
-using group_action =
-    std::variant<send_order, cancel_order, group_refusal, deliver_order>;
+using group_action = std::variant<send_order, cancel_order, group_refusal,
+                                  deliver_order, ask_order>;
 
 /// How an attempt ended.
 enum class attempt_outcome {
@@ -115,6 +122,8 @@
   service Service;
   double RetryPercent = 10;
   bool Hedging = true;
+  /// Requests go only to servers that told their speed a moment ago.
+  bool AskSpeed = false;
   /// Shortest time that an idempotent attempt is given.
   duration LeastAttemptTime = std::chrono::milliseconds(250);
   /// Idempotent attempts are given this many typical service times.
@@ -173,6 +182,10 @@
                                    time_point Now,
                                    const server_report *Report = nullptr);
 
+  /// Records what a server that was asked told; null when it did not.
+  std::vector<group_action> onTold(std::string_view Server,
+                                   const server_report *Report, time_point Now);
+
   /// Records a sign that \p Server was restarted: it counts as cold.
   void onRestart(std::string_view Server);
 
@@ -242,6 +255,8 @@
     outlier_detector Health;
     double ToldSlowness = 1;
     time_point ToldAt{};
+    time_point AskedAt{};
+    bool Asked = false; ///< An answer to the question is not in yet.
   };
 
   struct attempt {
@@ -251,6 +266,7 @@
     time_point Deadline;
     bool Hedge = false;
     bool Abandoned = false;
+    double Slowness = 1; ///< Of its server when it was sent.
   };
 
   struct running_request {
@@ -272,6 +288,12 @@
   double expectedMicros(const server_state &State, time_point Now) const;
   int chooseServer(int Avoid, time_point Now, bool WarmOnly = false) const;
   int findServer(std::string_view Name) const;
+  int chooseBySpeed(const work_item &Item, time_point Now) const;
+  bool isFresh(const server_state &State, time_point Now) const;
+  void note(server_state &State, const server_report &Report, time_point Now);
+  void dispatchBySpeed(time_point Now, std::vector<group_action> &Actions);
+  void askSpeeds(std::size_t Waiting, time_point Now,
+                 std::vector<group_action> &Actions);
   void addServer(const backend_server &Server, time_point Now);
   void dispatch(time_point Now, std::vector<group_action> &Actions);
   void send(const work_item &Item, int Server, bool Hedge, time_point Now,
@@ -296,6 +318,7 @@
   time_point attemptDeadline(const work_item &Item, time_point Now) const;
   duration expectedWait(const work_item &Item, time_point Now) const;
   int totalLimit(time_point Now) const;
+  int totalFree(time_point Now) const;
   void resizeQueue();
 
   server_group_settings Settings;
--- a/src/core/server_group.cpp
+++ b/src/core/server_group.cpp
@@ -104,14 +104,16 @@
 void server_group::refuseHopeless(time_point Now,
                                   std::vector<group_action> &Actions) {
   const double Rate = std::max(totalLimit(Now), 1);
-  double Ahead = 0;
+  int Waiting = 1 - totalFree(Now);
   for (const work_item &Item : Queue.inOrder()) {
-    const time_point Begin =
-        Now + fromMicros((Ahead + 1) * TypicalMicros / Rate);
-    ++Ahead;
-    if (Item.Aim <= time_point{} || canBeOnTime(Item, Begin))
+    // While a slot is free nothing is gained by a refusal.
+    const time_point Begin = Now + fromMicros(Waiting * TypicalMicros / Rate);
+    const bool IsHopeless =
+        Waiting > 0 && Item.Aim > time_point{} && !canBeOnTime(Item, Begin);
+    if (!IsHopeless) {
+      ++Waiting;
       continue;
-    --Ahead;
+    }
     Queue.remove(Item.Id);
     refuse(Item, refusal_reason::CannotBeOnTime, Now, Actions);
   }
@@ -128,6 +130,10 @@
   if (HandedOver || Now >= RightUntil)
     return;
   expireQueue(Now, Actions);
+  if (Settings.AskSpeed) {
+    dispatchBySpeed(Now, Actions);
+    return;
+  }
   while (!Queue.empty()) {
     if (chooseServer(-1, Now) < 0)
       return;
@@ -155,8 +161,13 @@
                         time_point Now, std::vector<group_action> &Actions) {
   server_state &State = Servers[static_cast<std::size_t>(Server)];
   const attempt_id Id = NextAttempt++;
-  const attempt Attempt{Item.Id, Server, Now, attemptDeadline(Item, Now),
-                        Hedge,   false};
+  const attempt Attempt{Item.Id,
+                        Server,
+                        Now,
+                        attemptDeadline(Item, Now),
+                        Hedge,
+                        false,
+                        isFresh(State, Now) ? State.ToldSlowness : 1.0};
   ++State.InFlight;
   State.LastAttempt = Id;
   ++Counters.Sent;
@@ -191,11 +202,8 @@
     return Actions;
   const attempt Attempt = Found->second;
   Attempts.erase(Found);
-  if (Report) {
-    server_state &State = Servers[static_cast<std::size_t>(Attempt.Server)];
-    State.ToldSlowness = Report->Slowness;
-    State.ToldAt = Now;
-  }
+  if (Report)
+    note(Servers[static_cast<std::size_t>(Attempt.Server)], *Report, Now);
   recordOutcome(Servers[static_cast<std::size_t>(Attempt.Server)], Attempt,
                 Outcome, Now);
   const auto Request = Running.find(Attempt.Request);
--- a/src/core/server_group_servers.cpp
+++ b/src/core/server_group_servers.cpp
@@ -190,6 +190,13 @@
   return WarmOnly && Best == Avoid ? -1 : Best;
 }
 
+int server_group::totalFree(time_point Now) const {
+  int Free = 0;
+  for (const server_state &State : Servers)
+    Free += freeSlots(State, Now);
+  return Free;
+}
+
 int server_group::totalLimit(time_point Now) const {
   int Total = 0;
   for (const server_state &State : Servers) {
@@ -209,7 +216,8 @@
   const auto Request = Running.find(Attempt.Request);
   double &OfRoute =
       RouteMicros[Request == Running.end() ? "" : Request->second.Item.Route];
-  OfRoute += OfRoute <= 0 ? Micros : GroupSmoothing * (Micros - OfRoute);
+  const double AsUsual = Micros / Attempt.Slowness;
+  OfRoute += OfRoute <= 0 ? AsUsual : GroupSmoothing * (AsUsual - OfRoute);
   TypicalMicros +=
       TypicalMicros <= 0 ? Micros : GroupSmoothing * (Micros - TypicalMicros);
   // Routes take unlike long; a server's speed is told by the ratio.
--- a/src/gateway/group_host.cpp
+++ b/src/gateway/group_host.cpp
@@ -15,6 +15,7 @@
   Group.RetryPercent = Settings.RetryPercent;
   // Trials of hedging brought no gain and spent the budget of retries.
   Group.Hedging = false;
+  Group.AskSpeed = !Service.LoadPath.empty();
   return Group;
 }
 
@@ -96,6 +97,8 @@
       refuse(Id, *Refusal);
     else if (const auto *Delivery = std::get_if<deliver_order>(&Action))
       deliver(Id, *Delivery);
+    else if (const auto *Question = std::get_if<ask_order>(&Action))
+      ask(Id, *Question);
   }
 }
 
@@ -118,6 +121,19 @@
                 });
 }
 
+void group_host::ask(const group_id &Id, const ask_order &Order) {
+  const auto Service = View->World->services().find(Id.Service);
+  const std::string Path = Service == View->World->services().end()
+                               ? std::string()
+                               : Service->second.LoadPath;
+  Pool.ask(Order, Path, [this, Id, Server = Order.Server](call_result Result) {
+    const bool IsTold =
+        Result.Outcome == attempt_outcome::Answered && Result.Report;
+    carryOut(Id, Groups.at(Id)->Group.onTold(
+                     Server, IsTold ? &*Result.Report : nullptr, bootNow()));
+  });
+}
+
 void group_host::onResult(const group_id &Id, attempt_id Attempt,
                           call_result Result) {
   hosted_group &Hosted = *Groups.at(Id);
--- a/src/gateway/group_host.h
+++ b/src/gateway/group_host.h
@@ -63,6 +63,7 @@
   void configureGroup(const group_id &Id, hosted_group &Hosted);
   void carryOut(const group_id &Id, std::vector<group_action> Actions);
   void send(const group_id &Id, const send_order &Order);
+  void ask(const group_id &Id, const ask_order &Order);
   void onResult(const group_id &Id, attempt_id Attempt, call_result Result);
   void cancelCall(const group_id &Id, attempt_id Attempt);
   void deliver(const group_id &Id, const deliver_order &Order);
--- a/src/gateway/server_pool.cpp
+++ b/src/gateway/server_pool.cpp
@@ -12,12 +12,18 @@
 
 namespace {
 
+/// Status of a server that says it is well.
+constexpr int HealthyStatus = 200;
+
 /// The largest answer that is taken from a server.
 constexpr message_limits AnswerLimits{64 * 1024, 32 << 20};
 
 /// How long a server may take over its deadline to say so itself.
 constexpr duration AnswerGrace = std::chrono::milliseconds(150);
 
+/// How long a server may take to tell its load, which it does at once.
+constexpr duration QuestionTimeout = std::chrono::milliseconds(120);
+
 /// A server that does not take a connection within this time is left alone.
 constexpr duration ConnectTimeout = std::chrono::milliseconds(400);
 
@@ -168,6 +174,13 @@
   call_result Result;
   Result.Answer = Decoder->take();
   Result.Report = platform::readReport(Result.Answer);
+  if (Call->IsQuestion) {
+    Result.Outcome = Result.Answer.Status == HealthyStatus
+                         ? attempt_outcome::Answered
+                         : attempt_outcome::ErrorAnswer;
+    finishCall(std::move(Result));
+    return;
+  }
   switch (platform::judgeAnswer(Result.Answer, Call->RequestId)) {
   case platform::answer_kind::OfAnother:
     // Ours may follow; the connection is not trusted with another request.
@@ -259,12 +272,34 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(Order.Deadline -
                                                             bootNow()));
   Call->Bytes = encodeRequest(Message, Order.Address);
-  if (const auto Known = takeIdle(Order)) {
+  begin(Call);
+  return Call;
+}
+
+void server_pool::ask(const ask_order &Order, const std::string &Path,
+                      server_call::done Done) {
+  const auto Call = std::make_shared<server_call>();
+  Call->Order.Server = Order.Server;
+  Call->Order.Address = Order.Address;
+  Call->Order.Deadline = bootNow() + QuestionTimeout - AnswerGrace;
+  Call->IsQuestion = true;
+  Call->Done = std::move(Done);
+  http_request_message Message{"GET", Path, {}, ""};
+  platform::setServerHeaders(
+      Message, Order.Server,
+      std::chrono::duration_cast<std::chrono::milliseconds>(QuestionTimeout));
+  Call->Bytes = encodeRequest(Message, Order.Address);
+  begin(Call);
+}
+
+void server_pool::begin(const std::shared_ptr<server_call> &Call) {
+  if (const auto Known = takeIdle(Call->Order.Address)) {
     Call->Connection = Known;
     Known->begin(Call);
-    return Call;
+    return;
   }
-  const auto Fresh = std::make_shared<server_connection>(*this, Order.Address);
+  const auto Fresh =
+      std::make_shared<server_connection>(*this, Call->Order.Address);
   Call->Connection = Fresh;
   try {
     Fresh->connect(Call);
@@ -276,12 +311,11 @@
         Call->Done({attempt_outcome::ConnectFailed, {}, std::nullopt});
     });
   }
-  return Call;
 }
 
 std::shared_ptr<server_connection>
-server_pool::takeIdle(const send_order &Order) {
-  std::vector<std::shared_ptr<server_connection>> &Known = Idle[Order.Address];
+server_pool::takeIdle(const std::string &Address) {
+  std::vector<std::shared_ptr<server_connection>> &Known = Idle[Address];
   const time_point Now = bootNow();
   while (!Known.empty()) {
     const std::shared_ptr<server_connection> Latest = std::move(Known.back());
--- a/src/gateway/server_pool.h
+++ b/src/gateway/server_pool.h
@@ -41,6 +41,7 @@
   std::string RequestId;
   std::string Bytes;
   bool ToHead = false;
+  bool IsQuestion = false; ///< Asks for the load; no caller waits for it.
   done Done;
   std::shared_ptr<server_connection> Connection;
   event_loop::timer_id Timer = 0;
@@ -59,6 +60,10 @@
                                     const forward_request &Request,
                                     server_call::done Done);
 
+  /// Asks the server of \p Order for its load at \p Path.
+  void ask(const ask_order &Order, const std::string &Path,
+           server_call::done Done);
+
   /// Closes the idle connections to \p Address.
   void dropIdle(const std::string &Address);
 
@@ -67,7 +72,8 @@
 private:
   friend class server_connection;
 
-  std::shared_ptr<server_connection> takeIdle(const send_order &Order);
+  void begin(const std::shared_ptr<server_call> &Call);
+  std::shared_ptr<server_connection> takeIdle(const std::string &Address);
   void giveBack(const std::shared_ptr<server_connection> &Connection);
   void remove(const server_connection *Connection);
 
--- /dev/null
+++ b/tests/unit/server_speed_test.cpp
@@ -0,0 +1,276 @@
+/// \file
+/// Tests of how a server group places requests on servers that are fast now.
+#include "agatedale/server_group.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <random>
+
+using namespace agatedale;
+using std::chrono::milliseconds;
+
+BOOST_AUTO_TEST_SUITE(server_speed_test)
+
+namespace {
+
+constexpr time_point Start{std::chrono::hours(1)};
+
+server_group group(int Count) {
+  server_group_settings Settings;
+  Settings.Service.Name = "orders";
+  Settings.Service.WarmUpAnswers = 1;
+  Settings.Hedging = false;
+  Settings.AskSpeed = true;
+  std::vector<backend_server> Servers;
+  for (int I = 0; I < Count; ++I)
+    Servers.push_back({"s" + std::to_string(I), "orders", "a", "", false});
+  server_group Group = takeValue(server_group::create(Settings, Servers));
+  Group.setRight(time_point::max());
+  return Group;
+}
+
+work_item item(request_id Id, time_point Now = Start, int AimMs = 600) {
+  work_item Item;
+  Item.Id = Id;
+  Item.Aim = Now + milliseconds(AimMs);
+  Item.Deadline = Now + milliseconds(1500);
+  Item.Idempotent = true;
+  Item.Route = "reads";
+  return Item;
+}
+
+template <typename T>
+std::vector<T> only(const std::vector<group_action> &All) {
+  std::vector<T> Found;
+  for (const group_action &Action : All) {
+    if (const T *Match = std::get_if<T>(&Action))
+      Found.push_back(*Match);
+  }
+  return Found;
+}
+
+server_report told(double Slowness) {
+  server_report Report;
+  Report.Slowness = Slowness;
+  return Report;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(ServerIsAskedBeforeItIsSentARequest) {
+  server_group Group = group(1);
+  const auto Actions = Group.submit(item(1), Start);
+  BOOST_TEST(only<send_order>(Actions).empty());
+  BOOST_TEST(only<ask_order>(Actions).size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ServerThatTellsItsUsualSpeedIsSentTheRequest) {
+  server_group Group = group(1);
+  Group.submit(item(1), Start);
+  const server_report Usual = told(1);
+  BOOST_TEST(only<send_order>(Group.onTold("s0", &Usual, Start)).size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(SpeedToldWithAnAnswerNeedsNoQuestion) {
+  server_group Group = group(1);
+  const server_report Usual = told(1);
+  Group.submit(item(1), Start);
+  const auto Sent = only<send_order>(Group.onTold("s0", &Usual, Start));
+  const time_point End = Start + milliseconds(200);
+  Group.finish(Sent[0].Attempt, attempt_outcome::Answered, End, &Usual);
+  const auto Actions = Group.submit(item(2, End), End + milliseconds(10));
+  BOOST_TEST(only<send_order>(Actions).size() == 1);
+  BOOST_TEST(only<ask_order>(Actions).empty());
+}
+
+BOOST_AUTO_TEST_CASE(RequestWaitsForAServerThatIsOutOfItsSlowSpell) {
+  server_group Group = group(1);
+  const server_report Usual = told(1);
+  const server_report Slow = told(5);
+  Group.submit(item(1), Start);
+  const auto Sent = only<send_order>(Group.onTold("s0", &Usual, Start));
+  const time_point End = Start + milliseconds(200);
+  Group.finish(Sent[0].Attempt, attempt_outcome::Answered, End, &Slow);
+  BOOST_TEST(only<send_order>(Group.submit(item(2, End), End)).empty(),
+             "expected it to wait: 1000 ms would miss the aim of 600 ms");
+  const time_point Later = End + milliseconds(100);
+  Group.tick(Later);
+  BOOST_TEST(only<send_order>(Group.onTold("s0", &Usual, Later)).size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(SlowSpellThatLeavesTheAimInReachIsNoReasonToWait) {
+  server_group Group = group(1);
+  const server_report Usual = told(1);
+  const server_report Slow = told(2);
+  Group.submit(item(1), Start);
+  const auto Sent = only<send_order>(Group.onTold("s0", &Usual, Start));
+  const time_point End = Start + milliseconds(200);
+  Group.finish(Sent[0].Attempt, attempt_outcome::Answered, End, &Slow);
+  BOOST_TEST(only<send_order>(Group.submit(item(2, End), End)).size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ServerThatDoesNotTellIsUsedWhenWaitingIsOver) {
+  server_group Group = group(1);
+  const server_report Usual = told(1);
+  Group.submit(item(1), Start);
+  const auto Sent = only<send_order>(Group.onTold("s0", &Usual, Start));
+  const time_point End = Start + milliseconds(300);
+  Group.finish(Sent[0].Attempt, attempt_outcome::Answered, End);
+  const time_point Next = End + milliseconds(100);
+  BOOST_TEST(only<send_order>(Group.submit(item(2, Next), Next)).empty());
+  int Sends = 0;
+  for (int Ms = 0; Ms <= 400; Ms += 20) {
+    const time_point Now = Next + milliseconds(Ms);
+    Sends += static_cast<int>(only<send_order>(Group.tick(Now)).size());
+    Sends += static_cast<int>(
+        only<send_order>(Group.onTold("s0", nullptr, Now)).size());
+  }
+  BOOST_TEST(Sends == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ServerIsAskedLessOftenThanTheOperatorsAllow) {
+  server_group Group = group(1);
+  const server_report Slow = told(5);
+  int Asked = 0;
+  request_id Id = 0;
+  for (int Ms = 0; Ms < 1000; ++Ms) {
+    const time_point Now = Start + milliseconds(Ms);
+    if (Ms % 100 == 0)
+      Group.submit(item(++Id, Now, 5000), Now);
+    const auto Questions = only<ask_order>(Group.tick(Now));
+    Asked += static_cast<int>(Questions.size());
+    if (!Questions.empty())
+      Group.onTold("s0", &Slow, Now);
+  }
+  BOOST_TEST(Asked <= 60, "expected at most 60 a second, got " << Asked);
+}
+
+BOOST_AUTO_TEST_CASE(ToldColdnessPacesTheServer) {
+  server_group_settings Settings;
+  Settings.Service.ColdPerSecond = 2;
+  Settings.AskSpeed = true;
+  const std::vector<backend_server> Servers{
+      {"s0", "orders", "a", "", false, 8}};
+  server_group Group = takeValue(server_group::create(Settings, Servers));
+  Group.setRight(time_point::max());
+  server_report Cold = told(1);
+  Cold.ColdLeft = std::chrono::seconds(3);
+  Group.onTold("s0", &Cold, Start);
+  Group.submit(item(1), Start);
+  BOOST_TEST(only<send_order>(Group.submit(item(2), Start)).empty(),
+             "expected the second request to wait for half a second");
+}
+
+namespace {
+
+/// Replays servers whose machines are slow in spells: in each spell of 150 ms a
+/// server is five times slower with a chance of a quarter. What begins in a
+/// slow spell stays slow.
+class noisy_run {
+public:
+  explicit noisy_run(bool AskSpeed) : AskSpeed(AskSpeed) {
+    server_group_settings Settings;
+    Settings.Service.WarmUpAnswers = 1;
+    Settings.Hedging = false;
+    Settings.AskSpeed = AskSpeed;
+    std::vector<backend_server> Servers;
+    for (int I = 0; I < ServerCount; ++I)
+      Servers.push_back({std::to_string(I), "s", "a", "", false});
+    Group.emplace(takeValue(server_group::create(Settings, Servers)));
+    Group->setRight(time_point::max());
+  }
+
+  /// Returns the share of requests that were answered within their aim.
+  double shareOnTime() {
+    std::exponential_distribution<double> Gap(LoadPerMs);
+    double NextMs = 0;
+    for (int Ms = 0; Ms < LengthMs; ++Ms) {
+      Now = Start + milliseconds(Ms);
+      if (Ms % SpellMs == 0)
+        drawSpells();
+      endAttempts();
+      if (Ms % 20 == 0)
+        carryOut(Group->tick(Now));
+      for (; NextMs <= Ms; NextMs += Gap(Random)) {
+        ++Requests;
+        carryOut(Group->submit(item(++LastId, Now), Now));
+      }
+    }
+    return static_cast<double>(OnTime) / Requests;
+  }
+
+private:
+  static constexpr int ServerCount = 6;
+  static constexpr int WorkMs = 220;
+  static constexpr int SpellMs = 150;
+  static constexpr int LengthMs = 60'000;
+  static constexpr double LoadPerMs = 0.5 * ServerCount * 2 / (2.0 * WorkMs);
+
+  struct running {
+    time_point Start;
+    time_point End;
+    request_id Request;
+    int Server;
+  };
+
+  void drawSpells() {
+    for (double &Value : Slowness)
+      Value = Random() % 4 == 0 ? 5 : 1;
+  }
+
+  void carryOut(const std::vector<group_action> &Actions) {
+    for (const group_action &Action : Actions) {
+      if (const auto *Send = std::get_if<send_order>(&Action)) {
+        const int Server = std::stoi(Send->Server);
+        Running[Send->Attempt] = {
+            Now,
+            Now + milliseconds(static_cast<int>(WorkMs * Slowness[Server])),
+            Send->Request, Server};
+        Aims[Send->Request] = Send->Deadline - milliseconds(900);
+      }
+      if (const auto *Ask = std::get_if<ask_order>(&Action)) {
+        const server_report Report = told(Slowness[std::stoi(Ask->Server)]);
+        carryOut(Group->onTold(Ask->Server, &Report, Now));
+      }
+    }
+  }
+
+  void endAttempts() {
+    std::vector<attempt_id> Due;
+    for (const auto &[Attempt, Run] : Running) {
+      if (Run.End <= Now)
+        Due.push_back(Attempt);
+    }
+    for (const attempt_id Attempt : Due) {
+      const running Run = Running.at(Attempt);
+      Running.erase(Attempt);
+      OnTime += Now <= Aims[Run.Request] ? 1 : 0;
+      const server_report Report = told(Slowness[Run.Server]);
+      carryOut(Group->finish(Attempt, attempt_outcome::Answered, Now,
+                             AskSpeed ? &Report : nullptr));
+    }
+  }
+
+  bool AskSpeed;
+  std::mt19937_64 Random{11};
+  std::optional<server_group> Group;
+  std::array<double, ServerCount> Slowness{1, 1, 1, 1, 1, 1};
+  time_point Now = Start;
+  request_id LastId = 0;
+  std::map<attempt_id, running> Running;
+  std::map<request_id, time_point> Aims;
+  int OnTime = 0;
+  int Requests = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(NoisyNeighboursCostFewRequestsTheirAim) {
+  const double Asked = noisy_run(true).shareOnTime();
+  const double Blind = noisy_run(false).shareOnTime();
+  BOOST_TEST(Asked >= 0.95, "expected 0.95 on time, got " << Asked);
+  BOOST_TEST(Asked > Blind, "asking brings " << Asked << ", not " << Blind);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
