--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -61,7 +61,7 @@
 ${FLEET_SETTINGS:-}
 SETTINGS
   "$BIN/agatedale-entry" --settings "$FLEET_DIR/$Name.toml" \
-    2>>"$FLEET_DIR/$Name.log" &
+    >>"$FLEET_DIR/$Name.log" 2>&1 &
   FLEET_PIDS[$Name]=$!
   grep -q "^$Name " "$FLEET_DIR/fleet.txt" ||
     echo "$Name $Ip $Zone live" >>"$FLEET_DIR/fleet.txt"
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -1,12 +1,18 @@
 /// \file
 /// Writes log lines.
 #include "log.h"
+#include "log_budget.h"
 
 #include <fmt/chrono.h>
 
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <cstdio>
+#include <deque>
+#include <mutex>
+#include <thread>
+#include <utility>
 
 namespace agatedale {
 
@@ -28,38 +34,114 @@
   return "error";
 }
 
-std::string quoted(const std::string &Value) {
-  const bool Plain =
-      !Value.empty() && Value.find_first_of(" \"\n\r=") == std::string::npos;
-  if (Plain)
-    return Value;
+std::string quoted(std::string_view Value) {
   std::string Text = "\"";
   for (const char C : Value) {
     if (C == '"' || C == '\\')
       Text.push_back('\\');
-    Text.push_back(C == '\n' || C == '\r' ? ' ' : C);
+    const bool IsControl = static_cast<unsigned char>(C) < ' ';
+    Text.push_back(IsControl ? ' ' : C);
   }
   return Text + "\"";
 }
 
+/// Lines of one event that are written in a second.
+constexpr int LinesPerSecond = 50;
+
+/// Lines that wait for the writer; further ones are left out.
+constexpr std::size_t MaxWaiting = 2000;
+
+/// Takes lines from every thread and writes them on its own, so that nobody
+/// waits for whoever reads the output.
+class log_writer {
+public:
+  log_writer() : Writer([this] { run(); }) {}
+
+  ~log_writer() {
+    {
+      const std::lock_guard Guard(Lock);
+      Stopping = true;
+    }
+    Changed.notify_one();
+    Writer.join();
+  }
+
+  void write(log_level Level, std::string_view Event, std::int64_t Second,
+             std::string_view Time, std::initializer_list<log_field> Fields) {
+    {
+      const std::lock_guard Guard(Lock);
+      if (!Budget.admit(Event, Second))
+        return;
+      if (Waiting.size() >= MaxWaiting) {
+        ++Dropped;
+        return;
+      }
+      const std::uint64_t LeftOut =
+          Budget.takeLeftOut(Event) + std::exchange(Dropped, 0);
+      Waiting.push_back(formatLogLine(Level, Event, Time, Fields, LeftOut));
+    }
+    Changed.notify_one();
+  }
+
+private:
+  void run() {
+    while (true) {
+      std::deque<std::string> Lines;
+      bool Last = false;
+      {
+        std::unique_lock Guard(Lock);
+        Changed.wait(Guard, [this] { return Stopping || !Waiting.empty(); });
+        Lines.swap(Waiting);
+        Last = Stopping;
+      }
+      for (const std::string &Line : Lines)
+        std::fwrite(Line.data(), 1, Line.size(), stdout);
+      std::fflush(stdout);
+      if (Last)
+        return;
+    }
+  }
+
+  std::mutex Lock;
+  std::condition_variable Changed;
+  std::deque<std::string> Waiting;
+  std::uint64_t Dropped = 0;
+  log_budget Budget{LinesPerSecond};
+  bool Stopping = false;
+  std::thread Writer;
+};
+
 } // namespace
 
 void setLogLevel(log_level Level) { LeastLevel = Level; }
 
+std::string formatLogLine(log_level Level, std::string_view Event,
+                          std::string_view Time,
+                          std::initializer_list<log_field> Fields,
+                          std::uint64_t LeftOut) {
+  std::string Line =
+      fmt::format(R"({{"time":"{}","level":"{}","event":"{}")", Time,
+                  levelName(Level), Event);
+  for (const log_field &Field : Fields)
+    Line += fmt::format(R"(,"{}":{})", Field.Key,
+                        Field.IsNumber ? Field.Value : quoted(Field.Value));
+  if (LeftOut > 0)
+    Line += fmt::format(R"(,"left_out":{})", LeftOut);
+  return Line + "}\n";
+}
+
 void logLine(log_level Level, std::string_view Event,
              std::initializer_list<log_field> Fields) {
   if (Level < LeastLevel.load())
     return;
+  static log_writer Writer;
   const auto Now = std::chrono::time_point_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now());
-  const auto Millis = Now.time_since_epoch().count() % 1000;
-  std::string Line =
-      fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} event={}",
-                  fmt::gmtime(std::chrono::system_clock::to_time_t(Now)),
-                  Millis, levelName(Level), Event);
-  for (const log_field &Field : Fields)
-    Line += fmt::format(" {}={}", Field.Key, quoted(Field.Value));
-  fmt::print(stderr, "{}\n", Line);
+  const std::time_t Second = std::chrono::system_clock::to_time_t(Now);
+  const std::string Time =
+      fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(Second),
+                  Now.time_since_epoch().count() % 1000);
+  Writer.write(Level, Event, Second, Time, Fields);
 }
 
 } // namespace agatedale
--- a/src/core/server_group_speed.cpp
+++ b/src/core/server_group_speed.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 /// How long a told speed is relied on; a fraction of a spell.
-constexpr duration FreshFor = std::chrono::milliseconds(40);
+constexpr duration FreshFor = std::chrono::milliseconds(15);
 
 /// Least time between two questions to a server: below the operators' bound of
 /// 60 a second.
