--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -34,7 +34,7 @@
   return "error";
 }
 
-std::string quoted(std::string_view Value) {
+std::string jsonText(std::string_view Value) {
   std::string Text = "\"";
   for (const char C : Value) {
     if (C == '"' || C == '\\')
@@ -119,12 +119,11 @@
                           std::string_view Time,
                           std::initializer_list<log_field> Fields,
                           std::uint64_t LeftOut) {
-  std::string Line =
-      fmt::format(R"({{"time":"{}","level":"{}","event":"{}")", Time,
-                  levelName(Level), Event);
+  std::string Line = fmt::format(R"({{"time":"{}","level":"{}","event":"{}")",
+                                 Time, levelName(Level), Event);
   for (const log_field &Field : Fields)
     Line += fmt::format(R"(,"{}":{})", Field.Key,
-                        Field.IsNumber ? Field.Value : quoted(Field.Value));
+                        Field.IsNumber ? Field.Value : jsonText(Field.Value));
   if (LeftOut > 0)
     Line += fmt::format(R"(,"left_out":{})", LeftOut);
   return Line + "}\n";
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -31,8 +31,8 @@
 
 /// Writes one JSON object on a line of its own: time, level, event and the
 /// fields. The line is handed to a thread that writes; when that does not keep
-/// up, or one event comes too often, lines are left out and counted in the field
-/// "left_out" of the next one. Bodies of requests are never logged.
+/// up, or one event comes too often, lines are left out and counted in the
+/// field "left_out" of the next one. Bodies of requests are never logged.
 void logLine(log_level Level, std::string_view Event,
              std::initializer_list<log_field> Fields = {});
 
--- a/tests/unit/log_test.cpp
+++ b/tests/unit/log_test.cpp
@@ -19,8 +19,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(QuotesAndControlCharactersAreEscaped) {
-  const std::string Line = formatLogLine(log_level::Info, "e", "t",
-                                         {{"why", "a \"b\"\\c\nd"}}, 0);
+  const std::string Line =
+      formatLogLine(log_level::Info, "e", "t", {{"why", "a \"b\"\\c\nd"}}, 0);
   BOOST_TEST(Line.find(R"("why":"a \"b\"\\c d")") != std::string::npos,
              "got " << Line);
 }
