--- /dev/null
+++ b/tests/gateway/callers_test.cpp
@@ -0,0 +1,116 @@
+/// \file
+/// What callers may send, and what becomes of requests they walk away from.
+#include "gateway_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace agatedale;
+using std::chrono::milliseconds;
+
+BOOST_AUTO_TEST_SUITE(callers_test)
+
+BOOST_AUTO_TEST_CASE(PipelinedRequestsAreAnsweredInTheirOrder) {
+  gateway_fleet Fleet(1, 1);
+  Fleet.server(0).setWork(milliseconds(30));
+  Poco::Net::StreamSocket Socket = Fleet.connect(0);
+  std::string Bytes;
+  for (int I = 0; I < 6; ++I)
+    Bytes +=
+        getRequest("/reads/" + std::to_string(I), "id-" + std::to_string(I));
+  Socket.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
+  const std::string Answers = readAnswers(Socket, 6, milliseconds(3000));
+  std::size_t Before = 0;
+  for (int I = 0; I < 6; ++I) {
+    const std::size_t At = Answers.find("i-0 /reads/" + std::to_string(I));
+    BOOST_REQUIRE(At != std::string::npos);
+    BOOST_TEST(At >= Before);
+    Before = At;
+  }
+}
+
+BOOST_AUTO_TEST_CASE(CallerThatLeavesEndsItsReadAtTheServer) {
+  gateway_fleet Fleet(1, 1);
+  Fleet.server(0).setWork(milliseconds(1200));
+  {
+    Poco::Net::StreamSocket Socket = Fleet.connect(0);
+    const std::string Bytes = getRequest("/reads/x", "id-1");
+    Socket.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
+    BOOST_REQUIRE(eventually(milliseconds(1000), [&] {
+      return Fleet.server(0).runsOf("id-1") == 1;
+    }));
+  }
+  BOOST_TEST(eventually(milliseconds(500), [&] {
+    return Fleet.server(0).cutWhileRunning() == 1;
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(OrderOfACallerThatLeftRunsToItsEnd) {
+  gateway_fleet Fleet(1, 1);
+  Fleet.server(0).setWork(milliseconds(300));
+  {
+    Poco::Net::StreamSocket Socket = Fleet.connect(0);
+    const std::string Bytes =
+        "POST /orders/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: id-1\r\n"
+        "Deadline-Ms: 1500\r\nContent-Length: 1\r\n\r\nb";
+    Socket.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
+    BOOST_REQUIRE(eventually(milliseconds(1000), [&] {
+      return Fleet.server(0).runsOf("id-1") == 1;
+    }));
+  }
+  std::this_thread::sleep_for(milliseconds(400));
+  BOOST_TEST(Fleet.server(0).cutWhileRunning() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ChunkedBodyReachesTheServerWhole) {
+  gateway_fleet Fleet(1, 1);
+  const std::string Answer = Fleet.sendRaw(
+      0, "POST /orders/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: id-1\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+  BOOST_TEST(Answer.starts_with("HTTP/1.1 200"));
+  BOOST_TEST(Fleet.server(0).lastRequest().ends_with("\r\n\r\nabcde"));
+}
+
+BOOST_AUTO_TEST_CASE(RequestThatIsNoHttpIsRefused) {
+  gateway_fleet Fleet(1, 1);
+  BOOST_TEST(Fleet.sendRaw(0, "nonsense\r\n\r\n").starts_with("HTTP/1.1 400"));
+}
+
+BOOST_AUTO_TEST_CASE(RequestWithLengthAndChunksIsRefused) {
+  gateway_fleet Fleet(1, 1);
+  const std::string Answer = Fleet.sendRaw(
+      0, "POST /orders/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: id-1\r\n"
+         "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  BOOST_TEST(Answer.starts_with("HTTP/1.1 400"));
+  BOOST_TEST(Fleet.server(0).runs() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(HeadersOverTheLimitAreRefused) {
+  gateway_fleet Fleet(1, 1);
+  const std::string Answer =
+      Fleet.sendRaw(0, "GET /reads/x HTTP/1.1\r\nHost: shop.example\r\nX: " +
+                           std::string(8000, 'x') + "\r\n\r\n");
+  BOOST_TEST(Answer.starts_with("HTTP/1.1 431"));
+}
+
+BOOST_AUTO_TEST_CASE(BodyOverTheLimitIsRefused) {
+  gateway_fleet Fleet(1, 1);
+  const std::string Answer = Fleet.sendRaw(
+      0, "POST /orders/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: id-1\r\n"
+         "Content-Length: 100000\r\n\r\n");
+  BOOST_TEST(Answer.starts_with("HTTP/1.1 413"));
+}
+
+BOOST_AUTO_TEST_CASE(HeadersThatDoNotComeInTimeEndTheConnection) {
+  gateway_fleet Fleet(1, 1);
+  Poco::Net::StreamSocket Socket = Fleet.connect(0);
+  const std::string Bytes = "GET /reads/x HTTP/1.1\r\nHost: sh";
+  Socket.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
+  BOOST_TEST(readAll(Socket, milliseconds(1500)).starts_with("HTTP/1.1 408"));
+}
+
+BOOST_AUTO_TEST_CASE(PathWithoutARouteIsNotFound) {
+  gateway_fleet Fleet(1, 1);
+  BOOST_TEST(Fleet.get(0, "/nowhere/x", "id-1").starts_with("HTTP/1.1 404"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/gateway/gateway_fleet.cpp
@@ -0,0 +1,218 @@
+/// \file
+/// Start, requests and end of the small fleet.
+#include "gateway_fleet.h"
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+#include <array>
+#include <atomic>
+
+namespace agatedale {
+
+namespace {
+
+constexpr int CallerPort = 1;
+constexpr int ReadinessPort = 2;
+constexpr int PeerPort = 3;
+constexpr int StorePort = 4;
+constexpr int FirstServerPort = 10;
+constexpr int PortsPerFleet = 40;
+
+/// Each fleet has ports of its own, so that one may follow another at once.
+int nextBasePort() {
+  static std::atomic<int> Next{21'000};
+  return Next.fetch_add(PortsPerFleet);
+}
+
+std::size_t wholeAnswers(const std::string &Text) {
+  std::size_t Count = 0;
+  std::size_t At = 0;
+  while (true) {
+    const std::size_t HeaderEnd = Text.find("\r\n\r\n", At);
+    if (HeaderEnd == std::string::npos)
+      return Count;
+    const std::size_t Field = Text.find("Content-Length: ", At);
+    const std::size_t Length =
+        Field < HeaderEnd ? std::stoul(Text.substr(Field + 16)) : 0;
+    if (Text.size() < HeaderEnd + 4 + Length)
+      return Count;
+    At = HeaderEnd + 4 + Length;
+    ++Count;
+  }
+}
+
+} // namespace
+
+std::string gateway_fleet::ipOf(int Gateway) const {
+  return fmt::format("127.0.7.{}", Gateway + 1);
+}
+
+gateway_fleet::gateway_fleet(int GatewayCount, int ServerCount,
+                             bool WithConfiguration)
+    : BasePort(nextBasePort()) {
+  const std::string StoreAddress =
+      fmt::format("127.0.7.100:{}", BasePort + StorePort);
+  Store = takeValue(platform::store_standin::start(StoreAddress));
+  for (int I = 0; I < ServerCount; ++I) {
+    Servers.push_back(takeValue(platform::server_standin::start(
+        fmt::format("i-{}", I),
+        fmt::format("127.0.7.200:{}", BasePort + FirstServerPort + I))));
+    Store->put("servers", Servers.back()->id(),
+               Servers.back()->row("desk", "a"));
+  }
+  if (WithConfiguration)
+    configure(1);
+  for (int I = 0; I < GatewayCount; ++I) {
+    gateway_settings Settings;
+    Settings.Vm = fmt::format("vm-{}", I);
+    Settings.Ip = ipOf(I);
+    Settings.Zone = "a";
+    Settings.Region = "r";
+    Settings.Zones = {{"a", "r"}, {"b", "r"}};
+    Settings.CallerAddress =
+        fmt::format("{}:{}", ipOf(I), BasePort + CallerPort);
+    Settings.ReadinessAddress =
+        fmt::format("{}:{}", ipOf(I), BasePort + ReadinessPort);
+    Settings.PeerPort = static_cast<std::uint16_t>(BasePort + PeerPort);
+    Settings.StoreAddress = StoreAddress;
+    Settings.StopGrace = StopGrace;
+    auto Running = std::make_unique<running_node>();
+    auto Node = gateway_node::start(Settings);
+    if (const error *Error = errorOf(Node))
+      BOOST_FAIL(Error->Message);
+    Running->Node = takeValue(std::move(Node));
+    Running->Thread = std::thread([Raw = Running.get()] {
+      Raw->Node->run();
+      Raw->Stopped = true;
+    });
+    Nodes.push_back(std::move(Running));
+  }
+  if (WithConfiguration)
+    waitUntilReady();
+}
+
+gateway_fleet::~gateway_fleet() {
+  for (const auto &Running : Nodes) {
+    if (Running->Node)
+      Running->Node->requestStop();
+  }
+  for (std::size_t I = 0; I < Nodes.size(); ++I)
+    stop(static_cast<int>(I));
+}
+
+void gateway_fleet::stop(int Gateway) {
+  running_node &Running = *Nodes.at(Gateway);
+  if (!Running.Thread.joinable())
+    return;
+  Running.Node->requestStop();
+  Running.Thread.join();
+  Running.Node.reset();
+}
+
+std::string gateway_fleet::usualRoutes() {
+  return R"("r-reads":{"host":"shop.example","prefix":"/reads/",)"
+         R"("kind":"idempotent","timeout_ms":1500,"aim_ms":600,"priority":2,)"
+         R"("service":"desk","max_attempts":2,"allowed_regions":[]},)"
+         R"("r-orders":{"host":"shop.example","prefix":"/orders/",)"
+         R"("kind":"non_idempotent","timeout_ms":1500,"aim_ms":800,)"
+         R"("priority":1,"service":"desk","max_attempts":2,)"
+         R"("allowed_regions":[]})";
+}
+
+void gateway_fleet::configure(int Version, const std::string &Routes) {
+  Store->put(
+      "op", "config",
+      fmt::format(
+          R"({{"version":"r{}","routes":{{{}}},"services":{{"desk":)"
+          R"({{"health_path":"/healthz","max_connections":220,)"
+          R"("protocol":"h1","tls":false,"warmup_s":3.0,"warmup_per_s":2.7}}}},)"
+          R"("limits":{{"max_header_bytes":4096,"max_body_bytes":65536,)"
+          R"("header_timeout_ms":400,"idle_timeout_ms":2000}}}})",
+          Version, Routes));
+}
+
+Poco::Net::StreamSocket gateway_fleet::connect(int Gateway) {
+  return Poco::Net::StreamSocket(Poco::Net::SocketAddress(
+      fmt::format("{}:{}", ipOf(Gateway), BasePort + CallerPort)));
+}
+
+std::string getRequest(const std::string &Path, const std::string &Id,
+                       int DeadlineMs) {
+  return fmt::format("GET {} HTTP/1.1\r\nHost: shop.example\r\n"
+                     "Request-Id: {}\r\nDeadline-Ms: {}\r\n\r\n",
+                     Path, Id, DeadlineMs);
+}
+
+std::string gateway_fleet::sendRaw(int Gateway, const std::string &Bytes) {
+  Poco::Net::StreamSocket Socket = connect(Gateway);
+  Socket.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
+  return readAnswers(Socket, 1, std::chrono::milliseconds(3000));
+}
+
+std::string gateway_fleet::get(int Gateway, const std::string &Path,
+                               const std::string &Id, int DeadlineMs) {
+  return sendRaw(Gateway, getRequest(Path, Id, DeadlineMs));
+}
+
+std::string gateway_fleet::post(int Gateway, const std::string &Path,
+                                const std::string &Id, const std::string &Body,
+                                int DeadlineMs) {
+  return sendRaw(Gateway,
+                 fmt::format("POST {} HTTP/1.1\r\nHost: shop.example\r\n"
+                             "Request-Id: {}\r\nDeadline-Ms: {}\r\n"
+                             "Content-Length: {}\r\n\r\n{}",
+                             Path, Id, DeadlineMs, Body.size(), Body));
+}
+
+int gateway_fleet::readiness(int Gateway) {
+  try {
+    Poco::Net::StreamSocket Socket(Poco::Net::SocketAddress(
+        fmt::format("{}:{}", ipOf(Gateway), BasePort + ReadinessPort)));
+    const std::string Request = "GET /v1/readyz HTTP/1.1\r\nHost: x\r\n\r\n";
+    Socket.sendBytes(Request.data(), static_cast<int>(Request.size()));
+    const std::string Answer =
+        readAnswers(Socket, 1, std::chrono::milliseconds(1000));
+    return Answer.size() > 12 ? std::stoi(Answer.substr(9, 3)) : 0;
+  } catch (const Poco::Exception &) {
+    return 0;
+  }
+}
+
+void gateway_fleet::waitUntilReady() {
+  for (std::size_t I = 0; I < Nodes.size(); ++I)
+    BOOST_REQUIRE(eventually(std::chrono::milliseconds(5000), [&] {
+      return readiness(static_cast<int>(I)) == 200;
+    }));
+}
+
+std::string readAll(Poco::Net::StreamSocket &Socket,
+                    std::chrono::milliseconds Wait) {
+  return readAnswers(Socket, 1 << 20, Wait);
+}
+
+std::string readAnswers(Poco::Net::StreamSocket &Socket, int Count,
+                        std::chrono::milliseconds Wait) {
+  std::string Text;
+  const auto End = std::chrono::steady_clock::now() + Wait;
+  try {
+    while (wholeAnswers(Text) < static_cast<std::size_t>(Count) &&
+           std::chrono::steady_clock::now() < End) {
+      if (!Socket.poll(Poco::Timespan(0, 10'000),
+                       Poco::Net::Socket::SELECT_READ))
+        continue;
+      std::array<char, 4096> Bytes; // NOLINT: filled by receiveBytes
+      const int Read = Socket.receiveBytes(Bytes.data(), Bytes.size());
+      if (Read <= 0)
+        break;
+      Text.append(Bytes.data(), static_cast<std::size_t>(Read));
+    }
+  } catch (const Poco::Exception &) {
+    // A reset ends the text like a close.
+  }
+  return Text;
+}
+
+} // namespace agatedale
--- /dev/null
+++ b/tests/gateway/gateway_fleet.h
@@ -0,0 +1,97 @@
+/// \file
+/// Gateways, servers and a store in the test's own process.
+#pragma once
+
+#include "agatedale/gateway_node.h"
+#include "platform/standins/server_standin.h"
+#include "platform/standins/store_standin.h"
+
+#include <Poco/Net/StreamSocket.h>
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace agatedale {
+
+/// A small fleet on loopback addresses: a store, servers of the service "desk"
+/// in the zone "a", and gateways that stand in the zones "a".
+///
+///   gateway_fleet Fleet(1, 2);
+///   std::string Answer = Fleet.get(0, "/reads/x", "id-1");
+class gateway_fleet {
+public:
+  /// From a request to stop until the platform would end the process.
+  static constexpr std::chrono::milliseconds StopGrace{2000};
+
+  gateway_fleet(int Gateways, int Servers, bool WithConfiguration = true);
+  ~gateway_fleet();
+
+  platform::store_standin &store() { return *Store; }
+  platform::server_standin &server(int Index) { return *Servers.at(Index); }
+  gateway_node &gateway(int Index) { return *Nodes.at(Index)->Node; }
+
+  /// Writes a configuration; \p Routes is the JSON of its routes.
+  void configure(int Version, const std::string &Routes = usualRoutes());
+  static std::string usualRoutes();
+
+  /// Opens a connection to the callers' address of a gateway.
+  Poco::Net::StreamSocket connect(int Gateway);
+
+  /// Sends one request on a new connection and returns the whole answer.
+  std::string get(int Gateway, const std::string &Path, const std::string &Id,
+                  int DeadlineMs = 1500);
+  std::string post(int Gateway, const std::string &Path, const std::string &Id,
+                   const std::string &Body = "b", int DeadlineMs = 1500);
+  std::string sendRaw(int Gateway, const std::string &Bytes);
+
+  /// Returns the status that the readiness address answers with.
+  int readiness(int Gateway);
+  void waitUntilReady();
+
+  /// Ends a gateway and waits for it.
+  void stop(int Gateway);
+  bool hasStopped(int Gateway) const { return Nodes.at(Gateway)->Stopped; }
+
+private:
+  struct running_node {
+    std::unique_ptr<gateway_node> Node;
+    std::thread Thread;
+    std::atomic<bool> Stopped{false};
+  };
+
+  std::string ipOf(int Gateway) const;
+
+  std::unique_ptr<platform::store_standin> Store;
+  std::vector<std::unique_ptr<platform::server_standin>> Servers;
+  std::vector<std::unique_ptr<running_node>> Nodes;
+  int BasePort;
+};
+
+/// Reads until the connection ends or \p Wait is over.
+std::string readAll(Poco::Net::StreamSocket &Socket,
+                    std::chrono::milliseconds Wait);
+
+/// Reads until \p Count answers with a length are whole.
+std::string readAnswers(Poco::Net::StreamSocket &Socket, int Count,
+                        std::chrono::milliseconds Wait);
+
+std::string getRequest(const std::string &Path, const std::string &Id,
+                       int DeadlineMs = 1500);
+
+/// Returns true if \p Holds becomes true within \p Wait.
+template <typename Condition>
+bool eventually(std::chrono::milliseconds Wait, Condition Holds) {
+  const auto End = std::chrono::steady_clock::now() + Wait;
+  while (!Holds()) {
+    if (std::chrono::steady_clock::now() >= End)
+      return false;
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  return true;
+}
+
+} // namespace agatedale
--- /dev/null
+++ b/tests/gateway/knowledge_test.cpp
@@ -0,0 +1,144 @@
+/// \file
+/// What gateways do as the store's rows change, fail, or cannot be read.
+#include "gateway_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace agatedale;
+using platform::store_mood;
+using std::chrono::milliseconds;
+
+BOOST_AUTO_TEST_SUITE(knowledge_test)
+
+namespace {
+
+/// The operators' bound on the time until a change is in force.
+constexpr milliseconds InForceWithin{2000};
+
+std::string routesWith(const std::string &Prefix) {
+  return R"("r-new":{"host":"shop.example","prefix":")" + Prefix +
+         R"(","kind":"idempotent","timeout_ms":1500,"aim_ms":600,)"
+         R"("priority":1,"service":"desk","max_attempts":1,)"
+         R"("allowed_regions":[]})";
+}
+
+bool isServed(gateway_fleet &Fleet, const std::string &Path) {
+  static int Next = 0;
+  return Fleet.get(0, Path, "k-" + std::to_string(++Next))
+      .starts_with("HTTP/1.1 200");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(WithoutAConfigurationNothingIsFoundMissing) {
+  gateway_fleet Fleet(1, 1, false);
+  BOOST_TEST(Fleet.get(0, "/reads/x", "id-1").starts_with("HTTP/1.1 503"));
+  BOOST_TEST(Fleet.readiness(0) == 503);
+}
+
+BOOST_AUTO_TEST_CASE(NewVersionIsInForceInTime) {
+  gateway_fleet Fleet(1, 1);
+  BOOST_TEST(!isServed(Fleet, "/new/x"));
+  Fleet.configure(2, routesWith("/new/"));
+  BOOST_TEST(
+      eventually(InForceWithin, [&] { return isServed(Fleet, "/new/x"); }));
+}
+
+BOOST_AUTO_TEST_CASE(OlderVersionIsNotTaken) {
+  gateway_fleet Fleet(1, 1);
+  Fleet.configure(5, routesWith("/new/"));
+  BOOST_REQUIRE(
+      eventually(InForceWithin, [&] { return isServed(Fleet, "/new/x"); }));
+  Fleet.configure(4);
+  std::this_thread::sleep_for(milliseconds(300));
+  BOOST_TEST(isServed(Fleet, "/new/x"));
+  BOOST_TEST(!isServed(Fleet, "/reads/x"));
+}
+
+BOOST_AUTO_TEST_CASE(UnreadableConfigurationLeavesTheOneInForce) {
+  gateway_fleet Fleet(1, 1);
+  Fleet.store().put("op", "config", "{\"version\":\"r9\",\"routes\":");
+  std::this_thread::sleep_for(milliseconds(300));
+  BOOST_TEST(isServed(Fleet, "/reads/x"));
+}
+
+BOOST_AUTO_TEST_CASE(UnreadableServerRowCostsNoOtherServer) {
+  gateway_fleet Fleet(1, 1);
+  Fleet.store().put("servers", "i-bad", R"({"address":7,"info":[]})");
+  Fleet.store().put("servers", "i-worse", "\xff\xfe");
+  std::this_thread::sleep_for(milliseconds(1000));
+  for (int I = 0; I < 5; ++I)
+    BOOST_TEST(isServed(Fleet, "/reads/x"));
+}
+
+BOOST_AUTO_TEST_CASE(DrainingServerGetsNothingMore) {
+  gateway_fleet Fleet(1, 2);
+  Fleet.store().put("servers", "i-0", Fleet.server(0).row("desk", "a", true));
+  std::this_thread::sleep_for(InForceWithin);
+  const int Before = Fleet.server(0).runs();
+  for (int I = 0; I < 6; ++I)
+    BOOST_TEST(isServed(Fleet, "/reads/x"));
+  BOOST_TEST(Fleet.server(0).runs() == Before);
+}
+
+BOOST_AUTO_TEST_CASE(RemovedServerGetsNothingMore) {
+  gateway_fleet Fleet(1, 2);
+  Fleet.store().remove("servers", "i-0");
+  std::this_thread::sleep_for(InForceWithin);
+  const int Before = Fleet.server(0).runs();
+  for (int I = 0; I < 6; ++I)
+    BOOST_TEST(isServed(Fleet, "/reads/x"));
+  BOOST_TEST(Fleet.server(0).runs() == Before);
+}
+
+BOOST_AUTO_TEST_CASE(ZoneTakenOutGetsNothingUntilItIsBack) {
+  gateway_fleet Fleet(1, 1);
+  Fleet.store().put("op", "evacuate/a", "{}");
+  std::this_thread::sleep_for(InForceWithin);
+  BOOST_TEST(!isServed(Fleet, "/reads/x"));
+  Fleet.store().remove("op", "evacuate/a");
+  BOOST_TEST(
+      eventually(InForceWithin, [&] { return isServed(Fleet, "/reads/x"); }));
+}
+
+BOOST_AUTO_TEST_CASE(SilentStoreStopsNoRequestAndIsFollowedWhenItIsBack) {
+  gateway_fleet Fleet(1, 1);
+  Fleet.store().setMood(store_mood::Silent);
+  for (int I = 0; I < 10; ++I) {
+    BOOST_TEST(isServed(Fleet, "/reads/x"));
+    std::this_thread::sleep_for(milliseconds(200));
+  }
+  Fleet.configure(2, routesWith("/new/"));
+  Fleet.store().setMood(store_mood::Well);
+  BOOST_TEST(
+      eventually(InForceWithin, [&] { return isServed(Fleet, "/new/x"); }));
+}
+
+BOOST_AUTO_TEST_CASE(RefusingStoreIsFollowedWhenItAnswersAgain) {
+  gateway_fleet Fleet(1, 1);
+  Fleet.store().setMood(store_mood::Busy);
+  std::this_thread::sleep_for(milliseconds(1500));
+  Fleet.configure(2, routesWith("/new/"));
+  Fleet.store().setMood(store_mood::Well);
+  BOOST_TEST(
+      eventually(InForceWithin, [&] { return isServed(Fleet, "/new/x"); }));
+}
+
+BOOST_AUTO_TEST_CASE(ForgottenHistoryIsReadAnewInWhole) {
+  gateway_fleet Fleet(1, 1);
+  Fleet.store().forgetHistory();
+  Fleet.configure(2, routesWith("/new/"));
+  BOOST_TEST(
+      eventually(InForceWithin, [&] { return isServed(Fleet, "/new/x"); }));
+}
+
+BOOST_AUTO_TEST_CASE(RowOfTheVmIsWrittenThoughItsAnswersAreLost) {
+  gateway_fleet Fleet(1, 1, false);
+  Fleet.store().remove("agatedale-vms", "vm-0");
+  Fleet.store().setMood(store_mood::LosesWrites);
+  BOOST_TEST(eventually(milliseconds(4000), [&] {
+    return Fleet.store().has("agatedale-vms", "vm-0");
+  }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
