--- a/include/agatedale/gateway_settings.h
+++ b/include/agatedale/gateway_settings.h
@@ -25,6 +25,7 @@
   std::string Region;           ///< Region of that zone.
   std::string CallerAddress;    ///< "ip:port" that callers connect to.
   std::string ReadinessAddress; ///< "ip:port" that answers "is it ready".
+  std::string MetricsAddress;   ///< "ip:port" of the metrics; empty for none.
   std::uint16_t PeerPort = 0;   ///< Same on every entry VM.
   std::string StoreAddress;     ///< "ip:port" of the platform's store.
   std::map<std::string, std::string> Zones;  ///< Region by zone.
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -32,6 +32,7 @@
   Settings.CallerAddress = Reader.requiredText("caller_address");
   Settings.ReadinessAddress = Reader.requiredText("readiness_address");
   Settings.StoreAddress = Reader.requiredText("store_address");
+  Settings.MetricsAddress = Reader.text("metrics_address", "");
   Settings.PeerPort =
       static_cast<std::uint16_t>(Reader.integer("peer_port", 0, 1, MaxPort));
   Settings.StopGrace = std::chrono::milliseconds(static_cast<std::int64_t>(
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -97,6 +97,8 @@
   void updateReady();
   bool isReady() const;
   void checkStopped(time_point Since);
+  std::optional<error> openMetrics();
+  void setGauges();
 
   gateway_settings Settings;
   metrics Metrics;
@@ -108,6 +110,7 @@
   std::unique_ptr<peer_hub> Hub;
   std::unique_ptr<listener> Callers;
   std::unique_ptr<listener> Readiness;
+  std::unique_ptr<listener> MetricsListener;
   std::map<std::string, std::vector<std::uint64_t>> PeerPositions;
   bool Registering = false;
   bool Registered = false;
@@ -159,6 +162,8 @@
   if (const error *Error = errorOf(MadeReadiness))
     return *Error;
   Readiness = takeValue(std::move(MadeReadiness));
+  if (const std::optional<error> Error = openMetrics())
+    return *Error;
   registerSelf();
   everyTick();
   everyHeartbeat();
@@ -170,6 +175,38 @@
   return std::nullopt;
 }
 
+std::optional<error> gateway_node::impl::openMetrics() {
+  if (Settings.MetricsAddress.empty())
+    return std::nullopt;
+  auto Made =
+      listener::open(*Loop, Settings.MetricsAddress, [this](auto Exchange) {
+        setGauges();
+        http_answer_message Answer{StatusOk, {}, Metrics.exportText()};
+        Answer.Headers.add("Content-Type", "text/plain; version=0.0.4");
+        Exchange->answer(Answer);
+      });
+  if (const error *Error = errorOf(Made))
+    return *Error;
+  MetricsListener = takeValue(std::move(Made));
+  return std::nullopt;
+}
+
+void gateway_node::impl::setGauges() {
+  const auto View = Knowledge->view();
+  const double Age =
+      std::chrono::duration<double>(bootNow() - Knowledge->mirror().asOf())
+          .count();
+  Metrics.set("agatedale_configuration_version", {},
+              View ? static_cast<double>(View->Version) : 0);
+  Metrics.set("agatedale_store_age_seconds", {}, Age);
+  Metrics.set("agatedale_requests_in_progress", {}, Router->inProgress());
+  Metrics.set("agatedale_requests_dispatched", {},
+              static_cast<double>(Host->inProgress()));
+  Metrics.set("agatedale_server_connections_made", {},
+              static_cast<double>(Host->connectionsMade()));
+  Metrics.set("agatedale_ready", {}, isReady() ? 1 : 0);
+}
+
 void gateway_node::impl::run() { Loop->run(); }
 
 void gateway_node::impl::everyTick() {
--- a/src/gateway/knowledge.cpp
+++ b/src/gateway/knowledge.cpp
@@ -24,6 +24,12 @@
     HoldEnds = false;
     rebuild();
   }
+  const bool IsAway = Mirror.isComplete() && Now - Mirror.asOf() > OutageLength;
+  if (IsAway && !StoreAway)
+    logLine(log_level::Warning, "store-lost",
+            {{"known_for_ms", toMillis(Now - Mirror.asOf())},
+             {"version", RulesVersion}});
+  StoreAway = StoreAway || IsAway;
   if (Reading)
     return;
   const auto Read = Follower.next(Mirror, Vms.readerRank(Now), Now);
@@ -49,29 +55,26 @@
     return;
   }
   Follower.onAnswer(Read.Table, Read.Whole);
-  onStoreAnswered();
   apply(valueOf(News));
   Mirror.vouch(valueOf(News).Position, valueOf(News).AsOf);
   Handlers.OnStore();
   tick();
 }
 
-void knowledge::onStoreAnswered() {
-  const time_point Now = bootNow();
-  const bool WasAway =
-      AnsweredAt > time_point{} && Now - Mirror.asOf() > OutageLength;
-  AnsweredAt = Now;
-  if (!WasAway)
+void knowledge::endOutage(time_point AsOf) {
+  if (!StoreAway || bootNow() - AsOf > OutageLength)
     return;
+  StoreAway = false;
   logLine(log_level::Info, "store-back",
-          {{"away_ms", toMillis(Now - Mirror.asOf())}});
-  HoldUntil = Now + LapseHold;
+          {{"away_ms", toMillis(AsOf - Mirror.asOf())}});
+  HoldUntil = bootNow() + LapseHold;
   HoldEnds = true;
 }
 
 void knowledge::takeNews(const table_news &News) { apply(News); }
 
 void knowledge::apply(const table_news &News) {
+  endOutage(News.AsOf);
   const store_mirror::apply_result Result = Mirror.apply(News);
   if (Result == store_mirror::apply_result::Changed) {
     if (News.Table == store_table::Vms)
--- a/src/gateway/knowledge.h
+++ b/src/gateway/knowledge.h
@@ -57,7 +57,7 @@
 
 private:
   void onRead(const store_read &Read, const result<table_news> &News);
-  void onStoreAnswered();
+  void endOutage(time_point AsOf);
   void apply(const table_news &News);
   void rebuild();
   void decodeRules();
@@ -78,7 +78,7 @@
   std::uint64_t RulesRowVersion = 0;
   std::map<std::string, backend_server> LastServers;
   std::map<std::string, std::uint64_t> BadRows; ///< Logged, by row version.
-  time_point AnsweredAt{};
+  bool StoreAway = false; ///< What is known grows old.
   time_point HoldUntil{}; ///< Lapsed servers are kept until then.
   bool HoldEnds = false;
 };
