--- a/include/agatedale/entry_vm.h
+++ b/include/agatedale/entry_vm.h
@@ -33,6 +33,7 @@
   std::string Region;
   bool Ready = false;   ///< Has a configuration and serves.
   bool Leaving = false; ///< Stops; takes no new work and owns nothing.
+  double Capacity = 1;  ///< Its share of a core; larger ones own more.
 };
 
 /// The weight of \p Vm for \p Subject under rendezvous hashing; the highest
--- a/include/agatedale/store_follower.h
+++ b/include/agatedale/store_follower.h
@@ -17,10 +17,12 @@
   std::chrono::milliseconds PollWait{700};
   /// A VM whose knowledge is older than this reads for itself; a healthy reader
   /// keeps it below the time of a poll and a heartbeat.
-  duration RelayPatience = std::chrono::milliseconds(1050);
+  duration RelayPatience = std::chrono::milliseconds(1150);
   /// The next in rank waits this much longer, so that not all read at once.
   duration PatiencePerRank = std::chrono::milliseconds(120);
   int MaxRank = 4;
+  /// A VM that starts waits this long for its first copy from a hub.
+  duration FirstCopyPatience = std::chrono::milliseconds(700);
   /// Pause after a failed call, doubling up to the longest.
   duration FirstPause = std::chrono::milliseconds(150);
   duration LongestPause = std::chrono::milliseconds(600);
@@ -47,7 +49,7 @@
 
   /// Returns the read that is due at \p Now. \p Rank is 0 for the reader.
   std::optional<store_read> next(const store_mirror &Mirror, int Rank,
-                                 time_point Now) const;
+                                 time_point Now);
 
   /// Records that the store answered, or that it forgot the history asked for.
   void onAnswer(store_table Table, bool Whole);
@@ -57,6 +59,7 @@
 private:
   store_follower_settings Settings;
   std::set<store_table> NeedsWhole;
+  std::optional<time_point> BeganAt;
   int Failures = 0;
   time_point PausedUntil{};
 };
--- a/include/agatedale/vm_directory.h
+++ b/include/agatedale/vm_directory.h
@@ -15,13 +15,24 @@
 
 /// What a vm_directory is built from.
 struct vm_directory_settings {
-  /// A VM of the own region that was not heard for this long is taken as lost.
-  duration HeardWithin = std::chrono::milliseconds(700);
+  /// A VM of the own zone that was not heard for this long, by this VM or by
+  /// those that told it, is taken as lost: three heartbeats and the way.
+  duration HeardWithin = std::chrono::milliseconds(950);
+  /// VMs of a zone that hear all others of it and tell them of each other.
+  std::size_t HubsPerZone = 2;
   /// A VM that failed a hand-over is passed over for this long at first.
   duration FirstSuspicion = std::chrono::milliseconds(500);
   duration LongestSuspicion = std::chrono::seconds(4);
 };
 
+/// What one VM has heard of another one of its zone.
+struct zone_mate {
+  std::uint32_t NameHash = 0;
+  time_point HeardAt{};
+  bool Ready = false;
+  bool Leaving = false;
+};
+
 /// The entry VMs that the store lists, with what this VM has seen of them. The
 /// owner of a group is found by rendezvous hashing over those that can be used,
 /// so that VMs which see the same fleet agree without asking each other. Two
@@ -44,6 +55,15 @@
   /// Records a sign of life of \p Name with what it says of itself.
   void heard(const std::string &Name, bool Ready, bool Leaving, time_point Now);
 
+  /// Takes in what a hub of the own zone has heard.
+  void told(const zone_mate &Mate);
+
+  /// Returns what this VM knows of its zone, for others of it.
+  std::vector<zone_mate> zoneMates(time_point Now) const;
+
+  /// Returns the VMs that heartbeats go to.
+  std::vector<entry_vm> heartbeatPeers(time_point Now) const;
+
   /// Records that a request handed to \p Name got no answer, or that it did.
   void failed(const std::string &Name, time_point Now);
   void answered(const std::string &Name);
@@ -67,8 +87,8 @@
                                   std::string_view Region,
                                   time_point Now) const;
 
-  /// Returns how many usable VMs of the region come before this one in the
-  /// order of those that read the store for the others; 0 for the reader.
+  /// Returns the place of this VM among those that read the store for the
+  /// region: 0 for the reader, one of the hubs.
   int readerRank(time_point Now) const;
 
   /// Returns the listed VMs of the own zone that were silent for \p Length.
@@ -87,6 +107,9 @@
       : Self(Self), Settings(Settings) {}
 
   bool isUsable(const member &Member, time_point Now) const;
+  bool mayBeHub(const member &Member, time_point Now) const;
+  std::vector<entry_vm> hubsOf(std::string_view Zone, time_point Now) const;
+  bool isHub(time_point Now) const;
 
   entry_vm Self;
   vm_directory_settings Settings;
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -38,6 +38,7 @@
   Settings.StopGrace = std::chrono::milliseconds(static_cast<std::int64_t>(
       MillisPerSecond *
       Reader.number("stop_grace_s", 6, 0.5, MaxGraceSeconds)));
+  Settings.Capacity = Reader.number("cpu_share", 1, 0.001, 1024);
   Settings.RetryPercent = Percent * ShareOfAllowedRetries *
                           Reader.number("retry_ratio", 0.2, 0, 10);
   Settings.Level = levelFromName(Reader.choice(
--- a/src/core/store_follower.cpp
+++ b/src/core/store_follower.cpp
@@ -7,12 +7,21 @@
 namespace agatedale {
 
 std::optional<store_read> store_follower::next(const store_mirror &Mirror,
-                                               int Rank, time_point Now) const {
+                                               int Rank, time_point Now) {
   if (Now < PausedUntil)
     return std::nullopt;
+  BeganAt = BeganAt.value_or(Now);
+  // The list of VMs says whom to ask for the rest.
+  if (Mirror.position(store_table::Vms) == 0)
+    return store_read{store_table::Vms, true, 0, {}};
+  const bool AwaitsCopy =
+      Rank > 0 && Now - *BeganAt < Settings.FirstCopyPatience;
   std::uint64_t Newest = 0;
   for (const store_table Table : AllStoreTables) {
-    if (Mirror.position(Table) == 0 || NeedsWhole.contains(Table))
+    const bool IsFirst = Mirror.position(Table) == 0;
+    if (IsFirst && AwaitsCopy)
+      return std::nullopt;
+    if (IsFirst || NeedsWhole.contains(Table))
       return store_read{Table, true, 0, {}};
     Newest = std::max(Newest, Mirror.position(Table));
   }
--- a/src/core/vm_directory.cpp
+++ b/src/core/vm_directory.cpp
@@ -3,6 +3,9 @@
 #include "agatedale/vm_directory.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
+#include <set>
 
 namespace agatedale {
 
@@ -11,8 +14,24 @@
 /// After this many failures the suspicion no longer grows.
 constexpr int MaxDoublings = 6;
 
-/// Subject whose owner reads the store for its region.
-constexpr std::string_view ReaderSubject = "#store-reader";
+/// Subject by which the hubs of a zone are chosen.
+constexpr std::string_view HubSubject = "#hub";
+
+std::uint64_t hubWeight(const entry_vm &Vm) {
+  return rendezvousWeight(Vm.Id.Name, HubSubject);
+}
+
+std::uint32_t nameHash(std::string_view Name) {
+  return static_cast<std::uint32_t>(stableHash(Name));
+}
+
+/// Weighted rendezvous hashing: a VM owns in proportion to its capacity.
+double ownerWeight(const entry_vm &Vm, std::string_view Subject) {
+  const double Drawn =
+      (static_cast<double>(rendezvousWeight(Vm.Id.Name, Subject)) + 1) /
+      (static_cast<double>(std::numeric_limits<std::uint64_t>::max()) + 2);
+  return -Vm.Capacity / std::log(Drawn);
+}
 
 } // namespace
 
@@ -95,7 +114,7 @@
 bool vm_directory::isUsable(const member &Member, time_point Now) const {
   if (Member.Vm.Leaving || Now < Member.SuspectUntil)
     return false;
-  if (Member.Vm.Region != Self.Region)
+  if (Member.Vm.Zone != Self.Zone)
     return true;
   return Member.Vm.Ready && Now - Member.HeardAt < Settings.HeardWithin;
 }
@@ -105,12 +124,12 @@
                                               std::string_view Region,
                                               time_point Now) const {
   std::optional<entry_vm> Best;
-  std::pair<bool, std::uint64_t> BestRank{false, 0};
+  std::pair<bool, double> BestRank{false, 0};
   const auto Offer = [&](const entry_vm &Vm) {
     if (Vm.Region != Region)
       return;
     const std::pair Rank{Vm.Zone == Zone,
-                         rendezvousWeight(Vm.Id.Name, Subject)};
+                         ownerWeight(Vm, Subject)};
     if (Best && Rank <= BestRank)
       return;
     BestRank = Rank;
@@ -125,14 +144,96 @@
   return Best;
 }
 
+bool vm_directory::mayBeHub(const member &Member, time_point Now) const {
+  if (Member.Vm.Leaving || Now < Member.SuspectUntil)
+    return false;
+  const time_point Since = std::max(Member.ListedAt, Member.HeardAt);
+  return Member.Vm.Zone != Self.Zone || Now - Since < Settings.HeardWithin;
+}
+
+std::vector<entry_vm> vm_directory::hubsOf(std::string_view Zone,
+                                           time_point Now) const {
+  std::vector<entry_vm> Hubs;
+  if (Self.Zone == Zone && !Self.Leaving)
+    Hubs.push_back(Self);
+  for (const auto &[Name, Member] : Members) {
+    if (Member.Vm.Zone == Zone && mayBeHub(Member, Now))
+      Hubs.push_back(Member.Vm);
+  }
+  std::sort(Hubs.begin(), Hubs.end(),
+            [](const entry_vm &Left, const entry_vm &Right) {
+              return hubWeight(Left) > hubWeight(Right);
+            });
+  if (Hubs.size() > Settings.HubsPerZone)
+    Hubs.resize(Settings.HubsPerZone);
+  return Hubs;
+}
+
+bool vm_directory::isHub(time_point Now) const {
+  const std::vector<entry_vm> Hubs = hubsOf(Self.Zone, Now);
+  return std::any_of(Hubs.begin(), Hubs.end(), [this](const entry_vm &Vm) {
+    return Vm.Id.Name == Self.Id.Name;
+  });
+}
+
+std::vector<entry_vm> vm_directory::heartbeatPeers(time_point Now) const {
+  std::set<std::string> Zones{Self.Zone};
+  if (isHub(Now)) {
+    for (const auto &[Name, Member] : Members) {
+      if (Member.Vm.Region == Self.Region)
+        Zones.insert(Member.Vm.Zone);
+    }
+  }
+  std::vector<entry_vm> Peers;
+  for (const std::string &Zone : Zones) {
+    for (const entry_vm &Hub : hubsOf(Zone, Now)) {
+      if (Hub.Id.Name != Self.Id.Name)
+        Peers.push_back(Hub);
+    }
+  }
+  return Peers;
+}
+
+void vm_directory::told(const zone_mate &Mate) {
+  for (auto &[Name, Member] : Members) {
+    const bool IsMeant =
+        Member.Vm.Zone == Self.Zone && nameHash(Name) == Mate.NameHash;
+    if (!IsMeant || Mate.HeardAt <= Member.HeardAt)
+      continue;
+    Member.HeardAt = Mate.HeardAt;
+    Member.Vm.Ready = Mate.Ready;
+    Member.Vm.Leaving = Mate.Leaving;
+  }
+}
+
+std::vector<zone_mate> vm_directory::zoneMates(time_point Now) const {
+  std::vector<zone_mate> Mates;
+  for (const auto &[Name, Member] : Members) {
+    const bool WasHeard = Member.Vm.Zone == Self.Zone &&
+                          Now - Member.HeardAt < 2 * Settings.HeardWithin;
+    if (WasHeard)
+      Mates.push_back({nameHash(Name), Member.HeardAt, Member.Vm.Ready,
+                       Member.Vm.Leaving});
+  }
+  return Mates;
+}
+
 int vm_directory::readerRank(time_point Now) const {
-  const std::uint64_t Own = rendezvousWeight(Self.Id.Name, ReaderSubject);
-  return static_cast<int>(
-      std::count_if(Members.begin(), Members.end(), [&](const auto &Entry) {
-        const member &Member = Entry.second;
-        return Member.Vm.Region == Self.Region && isUsable(Member, Now) &&
-               rendezvousWeight(Entry.first, ReaderSubject) > Own;
-      }));
+  const std::uint64_t Own = hubWeight(Self);
+  if (!isHub(Now)) {
+    return static_cast<int>(Settings.HubsPerZone);
+  }
+  int Before = 0;
+  for (const auto &[Name, Member] : Members) {
+    const bool IsNear = Member.Vm.Region == Self.Region &&
+                        Now - Member.HeardAt < Settings.HeardWithin &&
+                        !Member.Vm.Leaving;
+    if (!IsNear || hubWeight(Member.Vm) <= Own)
+      continue;
+    // Hubs of other zones are those that exchange heartbeats with this one.
+    Before += Member.Vm.Zone != Self.Zone || mayBeHub(Member, Now) ? 1 : 0;
+  }
+  return Before;
 }
 
 std::vector<std::string> vm_directory::silentFor(duration Length,
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -25,6 +25,9 @@
 /// How often groups look at their queues, and knowledge at its age.
 constexpr duration TickInterval = std::chrono::milliseconds(20);
 
+/// The same while no request is there; knowledge's age allows for it.
+constexpr duration IdleTickInterval = std::chrono::milliseconds(50);
+
 /// Heartbeats inside the region; a VM that misses two is taken as lost.
 constexpr duration HeartbeatInterval = std::chrono::milliseconds(250);
 constexpr duration HeartbeatTimeout = std::chrono::milliseconds(500);
@@ -59,6 +62,7 @@
   Self.Ip = Settings.Ip;
   Self.Zone = Settings.Zone;
   Self.Region = Settings.Region;
+  Self.Capacity = Settings.Capacity;
   return Self;
 }
 
@@ -89,6 +93,8 @@
   void everyClean();
   void beat();
   wire_gateway::Heartbeat makeHeartbeat(const std::string &Peer) const;
+  void addZoneMates(wire_gateway::Heartbeat &Message, time_point Now) const;
+  void connectToOwners();
   wire_gateway::Heartbeat onHeartbeat(const wire_gateway::Heartbeat &Message);
   void takeHeartbeat(const wire_gateway::Heartbeat &Message);
   void onVms();
@@ -212,7 +218,9 @@
 void gateway_node::impl::everyTick() {
   Knowledge->tick();
   Host->tick();
-  Loop->after(TickInterval, [this] { everyTick(); });
+  const bool IsIdle = Host->inProgress() == 0 && Router->inProgress() == 0;
+  Loop->after(IsIdle ? IdleTickInterval : TickInterval,
+              [this] { everyTick(); });
 }
 
 void gateway_node::impl::everyHeartbeat() {
@@ -221,13 +229,13 @@
 }
 
 void gateway_node::impl::beat() {
-  for (const entry_vm &Peer : Vms.others()) {
-    if (Peer.Region != Settings.Region)
-      continue;
+  for (const entry_vm &Peer : Vms.heartbeatPeers(bootNow())) {
     Hub->heartbeat(Peer, makeHeartbeat(Peer.Id.Name), HeartbeatTimeout,
-                   [this](const wire_gateway::Heartbeat *Reply) {
+                   [this, Peer](const wire_gateway::Heartbeat *Reply) {
                      if (Reply)
                        takeHeartbeat(*Reply);
+                     else if (Peer.Zone != Settings.Zone)
+                       Vms.failed(Peer.Id.Name, bootNow());
                    });
   }
 }
@@ -242,10 +250,13 @@
   const store_mirror &Mirror = Knowledge->mirror();
   for (const store_table Table : AllStoreTables)
     Message.add_positions(Mirror.position(Table));
+  const time_point Now = bootNow();
+  const auto Listed = Vms.find(Peer);
+  if (Listed && Listed->Zone == Settings.Zone)
+    addZoneMates(Message, Now);
   const auto Known = PeerPositions.find(Peer);
   if (Known == PeerPositions.end() || !Mirror.isComplete())
     return Message;
-  const time_point Now = bootNow();
   for (const store_table Table : AllStoreTables) {
     const std::uint64_t Position =
         Known->second[static_cast<std::size_t>(Table)];
@@ -254,12 +265,26 @@
   return Message;
 }
 
+void gateway_node::impl::addZoneMates(wire_gateway::Heartbeat &Message,
+                                      time_point Now) const {
+  for (const zone_mate &Mate : Vms.zoneMates(Now)) {
+    wire_gateway::ZoneMate &Out = *Message.add_mates();
+    Out.set_name_hash(Mate.NameHash);
+    Out.set_age_ms(static_cast<std::uint32_t>(toMillis(Now - Mate.HeardAt)));
+    Out.set_ready(Mate.Ready);
+    Out.set_leaving(Mate.Leaving);
+  }
+}
+
 void gateway_node::impl::takeHeartbeat(const wire_gateway::Heartbeat &Message) {
   const time_point Now = bootNow();
   Vms.heard(Message.vm(), Message.ready(), Message.leaving(), Now);
   if (Message.positions_size() == static_cast<int>(AllStoreTables.size()))
     PeerPositions[Message.vm()] = {Message.positions().begin(),
                                    Message.positions().end()};
+  for (const wire_gateway::ZoneMate &Mate : Message.mates())
+    Vms.told({Mate.name_hash(), Now - std::chrono::milliseconds(Mate.age_ms()),
+              Mate.ready(), Mate.leaving()});
   for (const wire_gateway::TableNews &Item : Message.news()) {
     const result<table_news> News = fromMessage(Item, Now);
     if (const error *Error = errorOf(News))
@@ -279,10 +304,8 @@
 void gateway_node::impl::onVms() {
   const std::vector<entry_vm> Listed = Knowledge->listedVms();
   Vms.setListed(Listed, bootNow());
-  const std::vector<entry_vm> Others = Vms.others();
-  Hub->keepOnly(Others);
-  for (const entry_vm &Peer : Others)
-    Hub->isConnected(Peer);
+  Hub->keepOnly(Vms.others());
+  connectToOwners();
   const bool IsListed =
       std::any_of(Listed.begin(), Listed.end(), [this](const entry_vm &Vm) {
         return Vm.Id == Vms.self().Id;
@@ -317,8 +340,23 @@
                 });
 }
 
+void gateway_node::impl::connectToOwners() {
+  const auto View = Knowledge->view();
+  if (!View)
+    return;
+  const time_point Now = bootNow();
+  for (const server_group_spec &Spec : View->World->groups()) {
+    const auto Owner =
+        Vms.ownerOf(toText(Spec.Id), Spec.Id.Zone,
+                    View->World->regionOf(Spec.Id.Zone), Now);
+    if (Owner && Owner->Id.Name != Settings.Vm)
+      Hub->isConnected(*Owner);
+  }
+}
+
 void gateway_node::impl::everyClean() {
   Loop->after(CleanInterval, [this] { everyClean(); });
+  connectToOwners();
   const time_point Now = bootNow();
   const auto Cleaner =
       Vms.ownerOf("#cleaner", Settings.Zone, Settings.Region, Now);
--- a/src/gateway/peer_hub.cpp
+++ b/src/gateway/peer_hub.cpp
@@ -23,6 +23,11 @@
 constexpr int FirstReconnectMs = 100;
 constexpr int LongestReconnectMs = 1000;
 
+/// How long a request waits for a connection to its owner, and how often it
+/// looks: a connection takes two ways there and back.
+constexpr duration ConnectPatience = std::chrono::milliseconds(150);
+constexpr duration ConnectLook = std::chrono::milliseconds(5);
+
 /// The largest message: a request's body and its headers.
 constexpr int MaxMessageBytes = 80 << 20;
 
@@ -226,29 +231,56 @@
   return Impl->find(Peer).Channel->GetState(true) == GRPC_CHANNEL_READY;
 }
 
+/// A request on its way to a peer: waiting for the connection, or sent.
+struct peer_hub::outgoing_forward {
+  using call = outgoing_call<wire_gateway::Forward, wire_gateway::Forwarded>;
+
+  entry_vm Peer;
+  call Call;
+  forwarded_done Done;
+  time_point GiveUpAt;
+  bool Sent = false;
+  bool Cancelled = false;
+};
+
 peer_hub::cancel_call peer_hub::forward(const entry_vm &Vm,
                                         const wire_gateway::Forward &Message,
                                         duration Timeout, forwarded_done Done) {
-  using call = outgoing_call<wire_gateway::Forward, wire_gateway::Forwarded>;
-  if (!isConnected(Vm)) {
-    Impl->Loop.post(
-        [Done = std::move(Done)] { Done(nullptr, peer_failure::NotSent); });
-    return [] {};
+  const auto Way = std::make_shared<outgoing_forward>();
+  Way->Peer = Vm;
+  Way->Call.Message = Message;
+  Way->Call.Context.set_deadline(deadlineIn(Timeout));
+  Way->Done = std::move(Done);
+  Way->GiveUpAt = bootNow() + ConnectPatience;
+  sendWhenConnected(Way);
+  return [Weak = std::weak_ptr<outgoing_forward>(Way)] {
+    const auto Running = Weak.lock();
+    if (!Running)
+      return;
+    Running->Cancelled = true;
+    if (Running->Sent)
+      Running->Call.Context.TryCancel();
+  };
+}
+
+void peer_hub::sendWhenConnected(const std::shared_ptr<outgoing_forward> &Way) {
+  const bool IsUp = isConnected(Way->Peer);
+  if (!IsUp && !Way->Cancelled && bootNow() < Way->GiveUpAt) {
+    Impl->Loop.after(ConnectLook, [this, Way] { sendWhenConnected(Way); });
+    return;
   }
-  const auto Call = std::make_shared<call>();
-  Call->Message = Message;
-  Call->Context.set_deadline(deadlineIn(Timeout));
-  Impl->find(Vm).Stub->async()->Serve(
-      &Call->Context, &Call->Message, &Call->Answer,
-      [this, Call, Done = std::move(Done)](const grpc::Status &Status) {
-        Impl->Loop.post([Call, Done, Good = Status.ok()] {
-          Done(Good ? &Call->Answer : nullptr, peer_failure::Lost);
+  if (!IsUp || Way->Cancelled) {
+    Impl->Loop.post([Way] { Way->Done(nullptr, peer_failure::NotSent); });
+    return;
+  }
+  Way->Sent = true;
+  Impl->find(Way->Peer).Stub->async()->Serve(
+      &Way->Call.Context, &Way->Call.Message, &Way->Call.Answer,
+      [this, Way](const grpc::Status &Status) {
+        Impl->Loop.post([Way, Good = Status.ok()] {
+          Way->Done(Good ? &Way->Call.Answer : nullptr, peer_failure::Lost);
         });
       });
-  return [Weak = std::weak_ptr<call>(Call)] {
-    if (const auto Running = Weak.lock())
-      Running->Context.TryCancel();
-  };
 }
 
 void peer_hub::keepOnly(std::span<const entry_vm> Peers) {
--- a/src/gateway/peer_hub.h
+++ b/src/gateway/peer_hub.h
@@ -73,6 +73,9 @@
 
 private:
   class impl;
+  struct outgoing_forward;
+
+  void sendWhenConnected(const std::shared_ptr<outgoing_forward> &Way);
   explicit peer_hub(std::unique_ptr<impl> Impl);
 
   std::unique_ptr<impl> Impl;
