--- a/include/agatedale/vm_directory.h
+++ b/include/agatedale/vm_directory.h
@@ -55,6 +55,9 @@
   /// Records a sign of life of \p Name with what it says of itself.
   void heard(const std::string &Name, bool Ready, bool Leaving, time_point Now);
 
+  /// Records whether \p Name said that its reads of the store fail.
+  void setReadsFail(const std::string &Name, bool Fail);
+
   /// Takes in what a hub of the own zone has heard.
   void told(const zone_mate &Mate);
 
@@ -88,8 +91,9 @@
                                   time_point Now) const;
 
   /// Returns the place of this VM among those that read the store for the
-  /// region: 0 for the reader, one of the hubs.
-  int readerRank(time_point Now) const;
+  /// region: 0 for the reader, one of the hubs. Those whose reads fail come
+  /// last; \p OwnReadsFail says so of this VM.
+  int readerRank(bool OwnReadsFail, time_point Now) const;
 
   /// Returns the listed VMs of the own zone that were silent for \p Length.
   std::vector<std::string> silentFor(duration Length, time_point Now) const;
@@ -101,6 +105,7 @@
     time_point HeardAt{};
     time_point SuspectUntil{};
     int Failures = 0;
+    bool ReadsFail = false;
   };
 
   vm_directory(const entry_vm &Self, const vm_directory_settings &Settings)
--- a/src/core/vm_directory.cpp
+++ b/src/core/vm_directory.cpp
@@ -65,6 +65,12 @@
   Member.Vm.Leaving = Leaving;
 }
 
+void vm_directory::setReadsFail(const std::string &Name, bool Fail) {
+  const auto Found = Members.find(Name);
+  if (Found != Members.end())
+    Found->second.ReadsFail = Fail;
+}
+
 void vm_directory::failed(const std::string &Name, time_point Now) {
   const auto Found = Members.find(Name);
   if (Found == Members.end())
@@ -128,8 +134,7 @@
   const auto Offer = [&](const entry_vm &Vm) {
     if (Vm.Region != Region)
       return;
-    const std::pair Rank{Vm.Zone == Zone,
-                         ownerWeight(Vm, Subject)};
+    const std::pair Rank{Vm.Zone == Zone, ownerWeight(Vm, Subject)};
     if (Best && Rank <= BestRank)
       return;
     BestRank = Rank;
@@ -212,22 +217,21 @@
     const bool WasHeard = Member.Vm.Zone == Self.Zone &&
                           Now - Member.HeardAt < 2 * Settings.HeardWithin;
     if (WasHeard)
-      Mates.push_back({nameHash(Name), Member.HeardAt, Member.Vm.Ready,
-                       Member.Vm.Leaving});
+      Mates.push_back(
+          {nameHash(Name), Member.HeardAt, Member.Vm.Ready, Member.Vm.Leaving});
   }
   return Mates;
 }
 
-int vm_directory::readerRank(time_point Now) const {
+int vm_directory::readerRank(bool OwnReadsFail, time_point Now) const {
   const std::uint64_t Own = hubWeight(Self);
-  if (!isHub(Now)) {
+  if (OwnReadsFail || !isHub(Now))
     return static_cast<int>(Settings.HubsPerZone);
-  }
   int Before = 0;
   for (const auto &[Name, Member] : Members) {
     const bool IsNear = Member.Vm.Region == Self.Region &&
                         Now - Member.HeardAt < Settings.HeardWithin &&
-                        !Member.Vm.Leaving;
+                        !Member.Vm.Leaving && !Member.ReadsFail;
     if (!IsNear || hubWeight(Member.Vm) <= Own)
       continue;
     // Hubs of other zones are those that exchange heartbeats with this one.
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -247,6 +247,7 @@
   Message.set_incarnation(Vms.self().Id.Incarnation);
   Message.set_ready(isReady());
   Message.set_leaving(Stopping);
+  Message.set_reads_fail(Knowledge->readsFail());
   const store_mirror &Mirror = Knowledge->mirror();
   for (const store_table Table : AllStoreTables)
     Message.add_positions(Mirror.position(Table));
@@ -279,6 +280,7 @@
 void gateway_node::impl::takeHeartbeat(const wire_gateway::Heartbeat &Message) {
   const time_point Now = bootNow();
   Vms.heard(Message.vm(), Message.ready(), Message.leaving(), Now);
+  Vms.setReadsFail(Message.vm(), Message.reads_fail());
   if (Message.positions_size() == static_cast<int>(AllStoreTables.size()))
     PeerPositions[Message.vm()] = {Message.positions().begin(),
                                    Message.positions().end()};
@@ -346,9 +348,8 @@
     return;
   const time_point Now = bootNow();
   for (const server_group_spec &Spec : View->World->groups()) {
-    const auto Owner =
-        Vms.ownerOf(toText(Spec.Id), Spec.Id.Zone,
-                    View->World->regionOf(Spec.Id.Zone), Now);
+    const auto Owner = Vms.ownerOf(toText(Spec.Id), Spec.Id.Zone,
+                                   View->World->regionOf(Spec.Id.Zone), Now);
     if (Owner && Owner->Id.Name != Settings.Vm)
       Hub->isConnected(*Owner);
   }
--- a/src/gateway/knowledge.cpp
+++ b/src/gateway/knowledge.cpp
@@ -10,32 +10,50 @@
 
 namespace {
 
-/// A store that was silent for this long may have dropped servers that live.
-constexpr duration OutageLength = std::chrono::milliseconds(1200);
+/// Knowledge of this age is told as the loss of the store.
+constexpr duration LostAfter = std::chrono::milliseconds(1800);
 
-/// Servers that live are listed again within two seconds after an outage.
-constexpr duration LapseHold = std::chrono::milliseconds(1800);
+/// An answer that is this late counts as none, for those who wait for what this
+/// VM reads; a slow store takes some 300 ms.
+constexpr duration LateAfter = std::chrono::milliseconds(400);
 
 } // namespace
 
+void knowledge::noteAge() {
+  const time_point Now = bootNow();
+  if (!Mirror.isComplete())
+    return;
+  const duration Age = Now - Mirror.asOf();
+  if (Age > LostAfter && !StoreAway) {
+    StoreAway = true;
+    logLine(log_level::Warning, "store-lost",
+            {{"known_for_ms", toMillis(Age)}, {"version", RulesVersion}});
+  }
+  const bool Ended = Hold.onKnown(Mirror.asOf(), Now);
+  if (Age <= LostAfter && StoreAway) {
+    StoreAway = false;
+    logLine(log_level::Info, "store-back", {{"holds_lapsed_servers", Ended}});
+  }
+}
+
+bool knowledge::readsFail() const {
+  return LastReadFailed || (LateAt && bootNow() > *LateAt);
+}
+
 void knowledge::tick() {
   const time_point Now = bootNow();
-  if (HoldEnds && Now >= HoldUntil) {
-    HoldEnds = false;
+  noteAge();
+  const bool Holds = Hold.isActive(Now);
+  if (std::exchange(HoldWasActive, Holds) && !Holds)
     rebuild();
-  }
-  const bool IsAway = Mirror.isComplete() && Now - Mirror.asOf() > OutageLength;
-  if (IsAway && !StoreAway)
-    logLine(log_level::Warning, "store-lost",
-            {{"known_for_ms", toMillis(Now - Mirror.asOf())},
-             {"version", RulesVersion}});
-  StoreAway = StoreAway || IsAway;
   if (Reading)
     return;
-  const auto Read = Follower.next(Mirror, Vms.readerRank(Now), Now);
+  const int Rank = Vms.readerRank(readsFail(), Now);
+  const auto Read = Follower.next(Mirror, Rank, Now);
   if (!Read)
     return;
   Reading = true;
+  LateAt = Now + Read->Wait + LateAfter;
   Worker.read(*Read, [this, Read = *Read](const result<table_news> &News) {
     onRead(Read, News);
   });
@@ -43,7 +61,10 @@
 
 void knowledge::onRead(const store_read &Read, const result<table_news> &News) {
   Reading = false;
-  if (const error *Error = errorOf(News)) {
+  LateAt.reset();
+  const error *Failure = errorOf(News);
+  LastReadFailed = Failure && Failure->Kind != error_kind::NotFound;
+  if (const error *Error = Failure) {
     if (Error->Kind == error_kind::NotFound)
       Follower.onForgotten(Read.Table);
     else
@@ -61,21 +82,12 @@
   tick();
 }
 
-void knowledge::endOutage(time_point AsOf) {
-  if (!StoreAway || bootNow() - AsOf > OutageLength)
-    return;
-  StoreAway = false;
-  logLine(log_level::Info, "store-back",
-          {{"away_ms", toMillis(AsOf - Mirror.asOf())}});
-  HoldUntil = bootNow() + LapseHold;
-  HoldEnds = true;
-}
-
 void knowledge::takeNews(const table_news &News) { apply(News); }
 
 void knowledge::apply(const table_news &News) {
-  endOutage(News.AsOf);
   const store_mirror::apply_result Result = Mirror.apply(News);
+  // An outage that has ended decides what becomes of rows that are gone.
+  noteAge();
   if (Result == store_mirror::apply_result::Changed) {
     if (News.Table == store_table::Vms)
       Handlers.OnVms();
@@ -139,7 +151,7 @@
 }
 
 void knowledge::keepLapsed(std::map<std::string, backend_server> &Servers) {
-  if (bootNow() >= HoldUntil)
+  if (!Hold.isActive(bootNow()))
     return;
   for (const auto &[Name, Server] : LastServers) {
     if (!Server.Leaving)
--- a/src/gateway/knowledge.h
+++ b/src/gateway/knowledge.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "agatedale/gateway_settings.h"
+#include "agatedale/lapse_hold.h"
 #include "agatedale/store_follower.h"
 #include "agatedale/store_mirror.h"
 #include "agatedale/vm_directory.h"
@@ -49,6 +50,9 @@
   /// Returns the view in force, or null before the first configuration.
   std::shared_ptr<const fleet_view> view() const { return View; }
 
+  /// Returns true if this VM's own reads fail, or the one under way is late.
+  bool readsFail() const;
+
   /// Returns the entry VMs in the store's list.
   std::vector<entry_vm> listedVms() const;
 
@@ -57,7 +61,7 @@
 
 private:
   void onRead(const store_read &Read, const result<table_news> &News);
-  void endOutage(time_point AsOf);
+  void noteAge();
   void apply(const table_news &News);
   void rebuild();
   void decodeRules();
@@ -78,9 +82,11 @@
   std::uint64_t RulesRowVersion = 0;
   std::map<std::string, backend_server> LastServers;
   std::map<std::string, std::uint64_t> BadRows; ///< Logged, by row version.
-  bool StoreAway = false; ///< What is known grows old.
-  time_point HoldUntil{}; ///< Lapsed servers are kept until then.
-  bool HoldEnds = false;
+  bool StoreAway = false;                       ///< What is known grows old.
+  lapse_hold Hold;
+  bool HoldWasActive = false;
+  std::optional<time_point> LateAt; ///< When the read under way is late.
+  bool LastReadFailed = false;
 };
 
 } // namespace agatedale
--- /dev/null
+++ b/tests/unit/store_following_test.cpp
@@ -0,0 +1,168 @@
+/// \file
+/// Tests of the store's copy: merging, when to read, and lapsed rows.
+#include "agatedale/lapse_hold.h"
+#include "agatedale/store_follower.h"
+#include "agatedale/store_mirror.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace agatedale;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+BOOST_AUTO_TEST_SUITE(store_following_test)
+
+namespace {
+
+constexpr time_point Start{std::chrono::hours(1)};
+
+table_news whole(store_table Table, std::uint64_t Position,
+                 std::vector<stored_row> Rows, time_point AsOf = Start) {
+  return {Table, 0, Position, true, AsOf, std::move(Rows)};
+}
+
+table_news since(std::uint64_t Since, std::uint64_t Position,
+                 std::vector<stored_row> Rows) {
+  return {store_table::Servers, Since, Position, false, Start, std::move(Rows)};
+}
+
+/// A mirror whose tables are complete up to version 10 at \p AsOf.
+store_mirror readMirror(time_point AsOf = Start) {
+  store_mirror Mirror;
+  for (const store_table Table : AllStoreTables)
+    Mirror.apply(whole(Table, 10, {{"a", "1", 5, false}}, AsOf));
+  return Mirror;
+}
+
+const std::string &valueOfA(const store_mirror &Mirror) {
+  return Mirror.rows(store_table::Servers).at("a").Value;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(OlderVersionOfARowIsIgnored) {
+  store_mirror Mirror = readMirror();
+  Mirror.apply(since(10, 12, {{"a", "new", 12, false}}));
+  Mirror.apply(since(10, 11, {{"a", "old", 11, false}}));
+  BOOST_TEST(valueOfA(Mirror) == "new");
+  BOOST_TEST(Mirror.position(store_table::Servers) == 12U);
+}
+
+BOOST_AUTO_TEST_CASE(RemovedRowIsNotBroughtBackByAnOlderOne) {
+  store_mirror Mirror = readMirror();
+  Mirror.apply(since(10, 12, {{"a", "", 12, true}}));
+  Mirror.apply(since(10, 11, {{"a", "old", 11, false}}));
+  BOOST_TEST(Mirror.rows(store_table::Servers).empty());
+}
+
+BOOST_AUTO_TEST_CASE(NewsBehindAGapAreRefused) {
+  store_mirror Mirror = readMirror();
+  const auto Result = Mirror.apply(since(20, 25, {{"b", "1", 25, false}}));
+  BOOST_TEST((Result == store_mirror::apply_result::Gap));
+  BOOST_TEST(Mirror.position(store_table::Servers) == 10U);
+}
+
+BOOST_AUTO_TEST_CASE(WholeReadDropsWhatItDoesNotList) {
+  store_mirror Mirror = readMirror();
+  Mirror.apply(whole(store_table::Servers, 20, {{"b", "1", 15, false}}));
+  BOOST_TEST(!Mirror.rows(store_table::Servers).contains("a"));
+  BOOST_TEST(Mirror.rows(store_table::Servers).contains("b"));
+}
+
+BOOST_AUTO_TEST_CASE(PeerIsGivenWhatItLacksAndNoMore) {
+  store_mirror Mirror = readMirror();
+  Mirror.apply(since(10, 14, {{"b", "1", 12, false}, {"a", "", 14, true}}));
+  const table_news News = Mirror.newsSince(store_table::Servers, 10);
+  BOOST_TEST(!News.Whole);
+  BOOST_TEST(News.Rows.size() == 2U);
+  BOOST_TEST(Mirror.newsSince(store_table::Servers, 14).Rows.empty());
+}
+
+BOOST_AUTO_TEST_CASE(OneAnswerVouchesForTablesThatAreAsNew) {
+  store_mirror Mirror = readMirror();
+  Mirror.vouch(10, Start + seconds(1));
+  BOOST_TEST((Mirror.asOf() == Start + seconds(1)));
+}
+
+BOOST_AUTO_TEST_CASE(OneAnswerDoesNotVouchForTablesThatAreBehind) {
+  store_mirror Mirror = readMirror();
+  Mirror.vouch(11, Start + seconds(1));
+  BOOST_TEST((Mirror.asOf() == Start));
+}
+
+BOOST_AUTO_TEST_CASE(ReaderAsksAgainAtOnceAndWaitsForChanges) {
+  store_follower Follower({});
+  const auto Read = Follower.next(readMirror(), 0, Start);
+  BOOST_REQUIRE(Read.has_value());
+  BOOST_TEST(Read->Wait.count() > 0);
+}
+
+BOOST_AUTO_TEST_CASE(OthersDoNotReadWhileTheyAreToldInTime) {
+  store_follower Follower({});
+  BOOST_TEST(!Follower.next(readMirror(), 2, Start + seconds(1)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(OthersReadWhenWhatTheyKnowIsOld) {
+  store_follower Follower({});
+  BOOST_TEST(
+      Follower.next(readMirror(), 2, Start + milliseconds(1500)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(NextInRankReadsSooner) {
+  const time_point Now = Start + milliseconds(1300);
+  BOOST_TEST(store_follower({}).next(readMirror(), 1, Now).has_value());
+  BOOST_TEST(!store_follower({}).next(readMirror(), 2, Now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(TableThatIsBehindAnotherIsReadNext) {
+  store_mirror Mirror = readMirror();
+  Mirror.apply(since(10, 12, {}));
+  const auto Read = store_follower({}).next(Mirror, 0, Start);
+  BOOST_REQUIRE(Read.has_value());
+  BOOST_TEST(Read->After == 10U);
+  BOOST_TEST(Read->Wait.count() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ForgottenHistoryIsReadInWhole) {
+  store_follower Follower({});
+  Follower.onForgotten(store_table::Servers);
+  const auto Read = Follower.next(readMirror(), 0, Start);
+  BOOST_REQUIRE(Read.has_value());
+  BOOST_TEST(Read->Whole);
+  BOOST_TEST((Read->Table == store_table::Servers));
+}
+
+BOOST_AUTO_TEST_CASE(FailedReadIsFollowedByAPause) {
+  store_follower Follower({});
+  Follower.onFailure(Start);
+  BOOST_TEST(!Follower.next(readMirror(), 0, Start).has_value());
+  BOOST_TEST(Follower.next(readMirror(), 0, Start + seconds(1)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(StartingVmLeavesItsFirstCopyToAHub) {
+  store_mirror Mirror;
+  Mirror.apply(whole(store_table::Vms, 10, {}));
+  store_follower Follower({});
+  BOOST_TEST(!Follower.next(Mirror, 2, Start).has_value());
+  BOOST_TEST(Follower.next(Mirror, 2, Start + seconds(1)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(LongOutageKeepsUnlistedServersForAWhile) {
+  lapse_hold Hold;
+  Hold.onKnown(Start, Start);
+  const time_point Back = Start + seconds(5);
+  BOOST_TEST(Hold.onKnown(Back, Back));
+  BOOST_TEST(Hold.isActive(Back + milliseconds(1700)));
+  BOOST_TEST(!Hold.isActive(Back + milliseconds(1900)));
+}
+
+BOOST_AUTO_TEST_CASE(ShortSilencesInARowKeepNoUnlistedServer) {
+  lapse_hold Hold;
+  for (int I = 0; I < 10; ++I) {
+    const time_point Now = Start + I * milliseconds(1400);
+    BOOST_TEST(!Hold.onKnown(Now, Now));
+    BOOST_TEST(!Hold.isActive(Now));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/vm_directory_test.cpp
@@ -0,0 +1,155 @@
+/// \file
+/// Tests of vm_directory.
+#include "agatedale/vm_directory.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+using namespace agatedale;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+BOOST_AUTO_TEST_SUITE(vm_directory_test)
+
+namespace {
+
+constexpr time_point Start{std::chrono::hours(1)};
+
+entry_vm vm(const std::string &Name, const std::string &Zone = "a",
+            const std::string &Region = "r", double Capacity = 1) {
+  entry_vm Vm;
+  Vm.Id = {Name, 1};
+  Vm.Zone = Zone;
+  Vm.Region = Region;
+  Vm.Capacity = Capacity;
+  return Vm;
+}
+
+std::vector<entry_vm> zoneOf(int Count) {
+  std::vector<entry_vm> Vms;
+  for (int I = 0; I < Count; ++I)
+    Vms.push_back(vm("vm-" + std::to_string(I)));
+  return Vms;
+}
+
+vm_directory directory(const entry_vm &Self, const std::vector<entry_vm> &All,
+                       time_point Now = Start) {
+  vm_directory Vms = vm_directory::create(Self, {});
+  Vms.setSelf(true, false);
+  Vms.setListed(All, Now);
+  for (const entry_vm &Vm : All)
+    Vms.heard(Vm.Id.Name, true, false, Now);
+  return Vms;
+}
+
+std::string ownerName(const vm_directory &Vms, const std::string &Subject,
+                      time_point Now = Start) {
+  return Vms.ownerOf(Subject, "a", "r", Now)->Id.Name;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(VmsThatSeeTheSameFleetAgreeOnTheOwner) {
+  const std::vector<entry_vm> All = zoneOf(5);
+  for (int Subject = 0; Subject < 20; ++Subject) {
+    const std::string Name = "s" + std::to_string(Subject);
+    const std::string First = ownerName(directory(All[0], All), Name);
+    for (const entry_vm &Vm : All)
+      BOOST_TEST(ownerName(directory(Vm, All), Name) == First);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LargerVmOwnsMore) {
+  std::vector<entry_vm> All = zoneOf(4);
+  All[0].Capacity = 5;
+  const vm_directory Vms = directory(All[0], All);
+  std::map<std::string, int> Owned;
+  for (int Subject = 0; Subject < 800; ++Subject)
+    ++Owned[ownerName(Vms, "s" + std::to_string(Subject))];
+  BOOST_TEST(Owned["vm-0"] > 400, "expected 5/8 of 800, got " << Owned["vm-0"]);
+}
+
+BOOST_AUTO_TEST_CASE(SilentVmOfTheZoneOwnsNothing) {
+  const std::vector<entry_vm> All = zoneOf(2);
+  const vm_directory Vms = directory(All[0], All);
+  for (int Subject = 0; Subject < 20; ++Subject)
+    BOOST_TEST(ownerName(Vms, "s" + std::to_string(Subject),
+                         Start + seconds(1)) == "vm-0");
+}
+
+BOOST_AUTO_TEST_CASE(VmThatAHubHearsIsNotTakenAsLost) {
+  const std::vector<entry_vm> All = zoneOf(2);
+  const vm_directory Hub = directory(All[0], All, Start + seconds(2));
+  vm_directory Vms = vm_directory::create(vm("vm-9"), {});
+  Vms.setListed(All, Start);
+  const time_point Now = Start + seconds(2);
+  BOOST_TEST(!Vms.isUsable("vm-1", Now));
+  for (const zone_mate &Mate : Hub.zoneMates(Now))
+    Vms.told(Mate);
+  BOOST_TEST(Vms.isUsable("vm-1", Now));
+}
+
+BOOST_AUTO_TEST_CASE(OldNewsOfAVmIsNoSignOfLife) {
+  const std::vector<entry_vm> All = zoneOf(2);
+  const vm_directory Hub = directory(All[0], All);
+  vm_directory Vms = vm_directory::create(vm("vm-9"), {});
+  Vms.setListed(All, Start);
+  const time_point Now = Start + milliseconds(1200);
+  for (const zone_mate &Mate : Hub.zoneMates(Now))
+    Vms.told(Mate);
+  BOOST_TEST(!Vms.isUsable("vm-1", Now));
+}
+
+BOOST_AUTO_TEST_CASE(HeartbeatsGrowWithTheFleetAndNotWithItsSquare) {
+  const std::vector<entry_vm> All = zoneOf(40);
+  std::size_t Total = 0;
+  for (const entry_vm &Vm : All)
+    Total += directory(Vm, All).heartbeatPeers(Start).size();
+  BOOST_TEST(Total <= 2 * All.size());
+}
+
+BOOST_AUTO_TEST_CASE(OneVmOfARegionReadsTheStore) {
+  const std::vector<entry_vm> All = zoneOf(5);
+  int Readers = 0;
+  for (const entry_vm &Vm : All)
+    Readers += directory(Vm, All).readerRank(false, Start) == 0 ? 1 : 0;
+  BOOST_TEST(Readers == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ReaderWhoseReadsFailIsFollowedByAnother) {
+  const std::vector<entry_vm> All = zoneOf(5);
+  std::string Reader;
+  for (const entry_vm &Vm : All) {
+    if (directory(Vm, All).readerRank(false, Start) == 0)
+      Reader = Vm.Id.Name;
+  }
+  int Readers = 0;
+  for (const entry_vm &Vm : All) {
+    vm_directory Vms = directory(Vm, All);
+    Vms.setReadsFail(Reader, true);
+    const bool Fails = Vm.Id.Name == Reader;
+    Readers += Vms.readerRank(Fails, Start) == 0 ? 1 : 0;
+  }
+  BOOST_TEST(Readers == 1, "expected one in its place, got " << Readers);
+}
+
+BOOST_AUTO_TEST_CASE(VmThatFailedAHandOverIsPassedOverForAWhile) {
+  const std::vector<entry_vm> All{vm("far", "z", "other")};
+  vm_directory Vms = directory(vm("self"), All);
+  BOOST_TEST(Vms.isUsable("far", Start));
+  Vms.failed("far", Start);
+  BOOST_TEST(!Vms.isUsable("far", Start + milliseconds(400)));
+  BOOST_TEST(Vms.isUsable("far", Start + milliseconds(600)));
+}
+
+BOOST_AUTO_TEST_CASE(RestartedVmStartsWithACleanRecord) {
+  std::vector<entry_vm> All{vm("far", "z", "other")};
+  vm_directory Vms = directory(vm("self"), All);
+  Vms.failed("far", Start);
+  All[0].Id.Incarnation = 2;
+  Vms.setListed(All, Start);
+  BOOST_TEST(Vms.isUsable("far", Start));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
