--- a/src/gateway/group_host.cpp
+++ b/src/gateway/group_host.cpp
@@ -87,7 +87,7 @@
 }
 
 void group_host::carryOut(const group_id &Id,
-                          std::vector<group_action> Actions) {
+                          const std::vector<group_action> &Actions) {
   for (const group_action &Action : Actions) {
     if (const auto *Order = std::get_if<send_order>(&Action))
       send(Id, *Order);
--- a/src/gateway/group_host.h
+++ b/src/gateway/group_host.h
@@ -61,7 +61,7 @@
 
   hosted_group *findOrCreate(const group_id &Id);
   void configureGroup(const group_id &Id, hosted_group &Hosted);
-  void carryOut(const group_id &Id, std::vector<group_action> Actions);
+  void carryOut(const group_id &Id, const std::vector<group_action> &Actions);
   void send(const group_id &Id, const send_order &Order);
   void ask(const group_id &Id, const ask_order &Order);
   void onResult(const group_id &Id, attempt_id Attempt, call_result Result);
--- a/src/gateway/knowledge.cpp
+++ b/src/gateway/knowledge.cpp
@@ -145,6 +145,7 @@
       Zones[*Zone].Out = true;
   }
   std::vector<availability_zone> List;
+  List.reserve(Zones.size());
   for (const auto &[Name, Zone] : Zones)
     List.push_back(Zone);
   return List;
@@ -176,6 +177,7 @@
   keepLapsed(Servers);
   LastServers = Servers;
   std::vector<backend_server> List;
+  List.reserve(Servers.size());
   for (const auto &[Key, Server] : Servers)
     List.push_back(Server);
   return List;
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -346,7 +346,7 @@
 
 forward_ticket request_router::serveForPeer(
     const wire_gateway::Forward &Message,
-    std::function<void(wire_gateway::Forwarded)> Done) {
+    const std::function<void(wire_gateway::Forwarded)> &Done) {
   const forward_ticket Ticket = ++LastPeerTicket;
   const time_point Now = bootNow();
   result<forward_request> Read = fromMessage(Message, Now);
--- a/src/gateway/request_router.h
+++ b/src/gateway/request_router.h
@@ -42,7 +42,7 @@
   /// Serves a request that a peer handed over; returns its ticket.
   forward_ticket
   serveForPeer(const wire_gateway::Forward &Message,
-               std::function<void(wire_gateway::Forwarded)> Done);
+               const std::function<void(wire_gateway::Forwarded)> &Done);
   void cancelForPeer(forward_ticket Ticket);
 
   /// Returns the requests that are not answered yet.
--- a/src/gateway/server_pool.cpp
+++ b/src/gateway/server_pool.cpp
@@ -260,7 +260,7 @@
 std::shared_ptr<server_call> server_pool::send(const send_order &Order,
                                                const forward_request &Request,
                                                server_call::done Done) {
-  const auto Call = std::make_shared<server_call>();
+  auto Call = std::make_shared<server_call>();
   Call->Order = Order;
   Call->RequestId = Request.Id;
   Call->ToHead = Request.Message.Method == "HEAD";
@@ -318,7 +318,7 @@
   std::vector<std::shared_ptr<server_connection>> &Known = Idle[Address];
   const time_point Now = bootNow();
   while (!Known.empty()) {
-    const std::shared_ptr<server_connection> Latest = std::move(Known.back());
+    std::shared_ptr<server_connection> Latest = std::move(Known.back());
     Known.pop_back();
     if (Latest->isUsable(Now))
       return Latest;
--- a/src/gateway/wire_convert.cpp
+++ b/src/gateway/wire_convert.cpp
@@ -46,7 +46,7 @@
     Message.set_aim_ms(static_cast<std::int32_t>(toMillis(Request.Aim - Now)));
   Message.set_priority(Request.Priority);
   Message.set_idempotent(Request.Idempotent);
-  Message.set_max_attempts(static_cast<std::uint32_t>(Request.MaxAttempts));
+  Message.set_attempts_left(static_cast<std::uint32_t>(Request.MaxAttempts));
   Message.set_id(Request.Id);
   Message.set_relayed(Request.Relayed);
   return Message;
@@ -69,7 +69,7 @@
     Request.Aim = Now + std::chrono::milliseconds(Message.aim_ms());
   Request.Priority = Message.priority();
   Request.Idempotent = Message.idempotent();
-  Request.MaxAttempts = static_cast<int>(Message.max_attempts());
+  Request.MaxAttempts = static_cast<int>(Message.attempts_left());
   Request.Id = Message.id();
   Request.Relayed = Message.relayed();
   return Request;
--- a/tests/unit/server_speed_test.cpp
+++ b/tests/unit/server_speed_test.cpp
@@ -23,6 +23,7 @@
   Settings.Hedging = false;
   Settings.AskSpeed = true;
   std::vector<backend_server> Servers;
+  Servers.reserve(static_cast<std::size_t>(Count));
   for (int I = 0; I < Count; ++I)
     Servers.push_back({"s" + std::to_string(I), "orders", "a", "", false});
   server_group Group = takeValue(server_group::create(Settings, Servers));
@@ -175,6 +176,7 @@
     Settings.Hedging = false;
     Settings.AskSpeed = AskSpeed;
     std::vector<backend_server> Servers;
+    Servers.reserve(ServerCount);
     for (int I = 0; I < ServerCount; ++I)
       Servers.push_back({std::to_string(I), "s", "a", "", false});
     Group.emplace(takeValue(server_group::create(Settings, Servers)));
--- a/tests/unit/vm_directory_test.cpp
+++ b/tests/unit/vm_directory_test.cpp
@@ -28,6 +28,7 @@
 
 std::vector<entry_vm> zoneOf(int Count) {
   std::vector<entry_vm> Vms;
+  Vms.reserve(static_cast<std::size_t>(Count));
   for (int I = 0; I < Count; ++I)
     Vms.push_back(vm("vm-" + std::to_string(I)));
   return Vms;
