--- a/src/gateway/event_loop.cpp
+++ b/src/gateway/event_loop.cpp
@@ -141,6 +141,7 @@
     runPosted();
     runTimers();
   }
+  Stopping = false;
 }
 
 } // namespace agatedale
--- a/src/gateway/event_loop.h
+++ b/src/gateway/event_loop.h
@@ -46,7 +46,7 @@
   /// Calls \p Task soon on the loop's thread; for any thread.
   void post(task Task);
 
-  /// Runs until stop() is called.
+  /// Runs until stop() is called; may be called again after that.
   void run();
   void stop() { Stopping = true; }
 
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -17,6 +17,7 @@
 
 #include <chrono>
 #include <map>
+#include <thread>
 
 namespace agatedale {
 
@@ -46,6 +47,9 @@
 /// A stop ends this long before the platform would kill the process.
 constexpr duration StopMargin = std::chrono::milliseconds(700);
 
+/// How long calls of peers may take to end when the process does.
+constexpr duration PeerShutdownGrace = std::chrono::milliseconds(100);
+
 constexpr int StatusOk = 200;
 constexpr int StatusUnavailable = 503;
 
@@ -75,10 +79,9 @@
 
   /// Ends what posts to the loop before the loop goes.
   ~impl() {
-    Worker.reset();
     if (Hub)
-      Hub->stop(duration::zero());
-    Hub.reset();
+      endPeers();
+    Worker.reset();
   }
 
   std::optional<error> start();
@@ -88,6 +91,8 @@
   std::unique_ptr<event_loop> Loop;
 
 private:
+  void endPeers();
+  void stopWhenIdle();
   void everyTick();
   void everyHeartbeat();
   void everyClean();
@@ -121,6 +126,7 @@
   bool Registering = false;
   bool Registered = false;
   bool Stopping = false;
+  bool Ending = false; ///< Calls of peers are answered, none is made.
 };
 
 std::optional<error> gateway_node::impl::start() {
@@ -213,6 +219,29 @@
   Metrics.set("agatedale_ready", {}, isReady() ? 1 : 0);
 }
 
+void gateway_node::impl::endPeers() {
+  Ending = true;
+  // A call of a peer ends only when the loop has answered it, and gRPC's server
+  // waits for every call; so the loop goes on until the server is down.
+  std::thread Closer([this] {
+    Hub->stop(PeerShutdownGrace);
+    Loop->post([this] {
+      Hub->cancelAll();
+      stopWhenIdle();
+    });
+  });
+  Loop->run();
+  Closer.join();
+  Hub.reset();
+}
+
+void gateway_node::impl::stopWhenIdle() {
+  if (Hub->isIdle())
+    Loop->stop();
+  else
+    Loop->after(TickInterval, [this] { stopWhenIdle(); });
+}
+
 void gateway_node::impl::run() { Loop->run(); }
 
 void gateway_node::impl::everyTick() {
@@ -229,6 +258,8 @@
 }
 
 void gateway_node::impl::beat() {
+  if (Ending)
+    return;
   for (const entry_vm &Peer : Vms.heartbeatPeers(bootNow())) {
     Hub->heartbeat(Peer, makeHeartbeat(Peer.Id.Name), HeartbeatTimeout,
                    [this, Peer](const wire_gateway::Heartbeat *Reply) {
--- a/src/gateway/peer_hub.cpp
+++ b/src/gateway/peer_hub.cpp
@@ -178,8 +178,16 @@
     return Peer;
   }
 
+  /// Remembers a call of ours until its outcome is in.
+  std::uint64_t begin(grpc::ClientContext &Context) {
+    Running.emplace(++LastCall, &Context);
+    return LastCall;
+  }
+
   event_loop &Loop;
   gateway_service Service;
+  std::map<std::uint64_t, grpc::ClientContext *> Running;
+  std::uint64_t LastCall = 0;
   std::unique_ptr<grpc::Server> Server;
   std::uint16_t Port = 0;
   std::map<std::string, peer> Peers;
@@ -218,10 +226,12 @@
   const auto Call = std::make_shared<call>();
   Call->Message = Message;
   Call->Context.set_deadline(deadlineIn(Timeout));
+  const std::uint64_t Number = Impl->begin(Call->Context);
   Impl->find(Vm).Stub->async()->Exchange(
       &Call->Context, &Call->Message, &Call->Answer,
-      [this, Call, Done = std::move(Done)](const grpc::Status &Status) {
-        Impl->Loop.post([Call, Done, Good = Status.ok()] {
+      [this, Call, Number, Done = std::move(Done)](const grpc::Status &Status) {
+        Impl->Loop.post([this, Call, Number, Done, Good = Status.ok()] {
+          Impl->Running.erase(Number);
           Done(Good ? &Call->Answer : nullptr);
         });
       });
@@ -274,10 +284,12 @@
     return;
   }
   Way->Sent = true;
+  const std::uint64_t Number = Impl->begin(Way->Call.Context);
   Impl->find(Way->Peer).Stub->async()->Serve(
       &Way->Call.Context, &Way->Call.Message, &Way->Call.Answer,
-      [this, Way](const grpc::Status &Status) {
-        Impl->Loop.post([Way, Good = Status.ok()] {
+      [this, Way, Number](const grpc::Status &Status) {
+        Impl->Loop.post([this, Way, Number, Good = Status.ok()] {
+          Impl->Running.erase(Number);
           Way->Done(Good ? &Way->Call.Answer : nullptr, peer_failure::Lost);
         });
       });
@@ -291,6 +303,13 @@
   });
 }
 
+void peer_hub::cancelAll() {
+  for (const auto &[Number, Context] : Impl->Running)
+    Context->TryCancel();
+}
+
+bool peer_hub::isIdle() const { return Impl->Running.empty(); }
+
 void peer_hub::stop(duration Grace) {
   Impl->Server->Shutdown(deadlineIn(Grace));
 }
--- a/src/gateway/peer_hub.h
+++ b/src/gateway/peer_hub.h
@@ -68,6 +68,10 @@
   /// Drops the connections to all but \p Peers.
   void keepOnly(std::span<const entry_vm> Peers);
 
+  /// Breaks off the calls of this process; isIdle() says when they have ended.
+  void cancelAll();
+  bool isIdle() const;
+
   /// Takes no more calls; those that run may end until \p Grace is over.
   void stop(duration Grace);
 
--- a/src/gateway/request_router.h
+++ b/src/gateway/request_router.h
@@ -45,8 +45,10 @@
                const std::function<void(wire_gateway::Forwarded)> &Done);
   void cancelForPeer(forward_ticket Ticket);
 
-  /// Returns the requests that are not answered yet.
-  int inProgress() const { return InProgress; }
+  /// Returns the requests of callers and peers that are not answered yet.
+  int inProgress() const {
+    return InProgress + static_cast<int>(PeerCancels.size());
+  }
 
 private:
   struct journey;
