A key has one home region: sent again through another region it runs once

Cause: key partitions belong to a region. An account with two home regions had its key claimed by whichever region its caller reached, so a key sent again through the other region was claimed, and run, a second time. With it: a request on its way home tries another VM first each time, not always the first of the list.

--- a/include/agatedale/configuration.h
+++ b/include/agatedale/configuration.h
@@ -229,6 +229,12 @@
                                      const client_account &Account,
                                      std::span<const std::string> Known);
 
+/// Returns the region of \p Homes that runs the requests of \p Account with
+/// \p Key: the same one on every entry VM, so that a key which is sent again
+/// through another region meets its first run. \p Homes is not empty.
+std::string keyHome(std::span<const std::string> Homes,
+                    std::string_view Account, std::string_view Key);
+
 /// Returns the lines that differ between two documents, each behind "+ " or
 /// "- ", in the order of their place.
 std::vector<std::string> diffDocuments(std::string_view Before,
--- a/src/node/request_path.cpp
+++ b/src/node/request_path.cpp
@@ -140,6 +140,10 @@
     Refusal = refusal_reason::KeyMissing;
     return std::nullopt;
   }
+  // Each region claims keys for itself; a key that two of them could claim
+  // would run twice when it is sent again through the other.
+  if (!Routed.Key.empty())
+    Routed.Homes = {keyHome(Routed.Homes, Name, Routed.Key)};
   Routed.Route = Route;
   Routed.Service = Route->Service;
   Routed.Request = std::move(Request);
@@ -234,7 +238,10 @@
     return refusalOf(refusal_reason::LinkBudgetSpent, verdict::NotRun);
   if (Large)
     Request.Reader = throttled(std::move(Request.Reader), Request.Deadline);
-  for (const entry_vm &Vm : Seen.Live) {
+  // Another VM first for each request, so that none takes all of a region's.
+  const std::size_t First = stableHash(Request.Id);
+  for (std::size_t I = 0; I < Seen.Live.size(); ++I) {
+    const entry_vm &Vm = Seen.Live[(First + I) % Seen.Live.size()];
     const bool IsHome = std::find(Routed.Homes.begin(), Routed.Homes.end(),
                                   Vm.Region) != Routed.Homes.end();
     if (!IsHome || !Vm.Ready || Vm.Leaving || !Links.isConnected(Vm.Ip))
--- a/tests/failures/request_failures.cpp
+++ b/tests/failures/request_failures.cpp
@@ -232,6 +232,25 @@
   BOOST_TEST(Fleet.runsInZone("a") + Fleet.runsInZone("b") == 0);
 }
 
+BOOST_AUTO_TEST_CASE(KeySentAgainThroughAnotherRegionRunsOnce) {
+  process_fleet Fleet("key_regions");
+  Fleet.startAll();
+  Fleet.startVm("south", 20, "c", "s");
+  const bool Ready = eventually(milliseconds(10'000), [&Fleet] {
+    return Fleet.call("south", "GET", "/status").Verdict == "answered";
+  });
+  BOOST_TEST(Ready, "expected the other region's entry VM to serve");
+  // Fresh keys are refused for a moment after the partition's first takeover.
+  std::this_thread::sleep_for(milliseconds(3000));
+  for (int I = 0; I < 10; ++I) {
+    const std::string Key = freshKey();
+    const auto First = Fleet.call("vm1", "POST", "/orders", Key, "order");
+    BOOST_TEST(First.Verdict == "answered", First.Reason);
+    const auto Again = Fleet.call("south", "POST", "/orders", Key, "order");
+    BOOST_TEST(Again.Body == First.Body, "key " << Key << " ran twice");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(OfTwoPublishesAtOnceOneWins) {
   process_fleet Fleet("two_publishes");
   Fleet.startAll();
