VMs that lost sight of their zone meet again; copies of the store are given in turn

Cause: a VM that heard none of its zone for 950 ms took nobody for a hub any more and sent heartbeats to nobody, for good. On the grown site hubs on small links were choked while the fleet started (35 VMs ask for a copy of 0.1 MB at once, and again with each heartbeat), so nine VMs of a zone and more stayed alone, took off the others' rows, who wrote them again, and each read the store for itself. Ruled out by a trial that logs each read: slow relays (once heard, known for 0.1 to 0.7 s), readers' own polls (21 in 6 s of 140 VMs). Change: while one that would be a hub is silent, heartbeats go to one of those in turn; hubs are the largest VMs; a slow link counts as less capacity; whole copies go to 8 peers in 250 ms and to each once a second; a VM that hears less than half of its zone removes others only after 15 s; rows are decoded once a version; heartbeats caused by news are 50 ms apart.

--- a/include/agatedale/gateway_settings.h
+++ b/include/agatedale/gateway_settings.h
@@ -30,7 +30,8 @@
   std::string StoreAddress;     ///< "ip:port" of the platform's store.
   std::map<std::string, std::string> Zones;  ///< Region by zone.
   std::chrono::milliseconds StopGrace{6000}; ///< From SIGTERM to SIGKILL.
-  double Capacity = 1;      ///< Share of a core that the process has.
+  /// Share of a core that the process can use: less on a slow link.
+  double Capacity = 1;
   double RetryPercent = 10; ///< Retries that a hundred requests earn.
   log_level Level = log_level::Info;
 
--- a/include/agatedale/vm_directory.h
+++ b/include/agatedale/vm_directory.h
@@ -23,6 +23,11 @@
   /// A VM that failed a hand-over is passed over for this long at first.
   duration FirstSuspicion = std::chrono::milliseconds(500);
   duration LongestSuspicion = std::chrono::seconds(4);
+  /// A VM of the own zone that was silent for this long is taken off the list
+  /// by one that hears most of the zone.
+  duration RemoveAfter = std::chrono::seconds(5);
+  /// The same by one that hears fewer: it may be the one that is cut off.
+  duration RemoveAfterAlone = std::chrono::seconds(15);
 };
 
 /// What one VM has heard of another one of its zone.
@@ -64,8 +69,10 @@
   /// Returns what this VM knows of its zone, for others of it.
   std::vector<zone_mate> zoneMates(time_point Now) const;
 
-  /// Returns the VMs that heartbeats go to.
-  std::vector<entry_vm> heartbeatPeers(time_point Now) const;
+  /// Returns the VMs that heartbeats go to: hubs, and while one that would be a
+  /// hub is silent, one of those in turn, so that VMs which lost sight of each
+  /// other meet again at the same ones.
+  std::vector<entry_vm> heartbeatPeers(time_point Now);
 
   /// Records that a request handed to \p Name got no answer, or that it did.
   void failed(const std::string &Name, time_point Now);
@@ -95,6 +102,9 @@
   /// last; \p OwnReadsFail says so of this VM.
   int readerRank(bool OwnReadsFail, time_point Now) const;
 
+  /// Returns the VMs of the own zone that should be taken off the list.
+  std::vector<std::string> removable(time_point Now) const;
+
   /// Returns the listed VMs of the own zone that were silent for \p Length.
   std::vector<std::string> silentFor(duration Length, time_point Now) const;
 
@@ -104,6 +114,7 @@
     time_point ListedAt{};
     time_point HeardAt{};
     time_point SuspectUntil{};
+    time_point ProbedAt{};
     int Failures = 0;
     bool ReadsFail = false;
   };
@@ -115,6 +126,8 @@
   bool mayBeHub(const member &Member, time_point Now) const;
   std::vector<entry_vm> hubsOf(std::string_view Zone, time_point Now) const;
   bool isHub(time_point Now) const;
+  bool hearsMostOfZone(time_point Now) const;
+  member *silentHubInTurn(time_point Now);
 
   entry_vm Self;
   vm_directory_settings Settings;
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -3,6 +3,8 @@
 #include "agatedale/gateway_settings.h"
 #include "toml_reader.h"
 
+#include <algorithm>
+
 namespace agatedale {
 
 namespace {
@@ -16,6 +18,10 @@
 constexpr double ShareOfAllowedRetries = 0.5;
 constexpr double Percent = 100;
 
+/// Processor time that goes with traffic: a request takes about 1.5 ms and
+/// 80 kbit there and back (docs/CAPACITY.md).
+constexpr double CoresPerMegabit = 0.02;
+
 } // namespace
 
 result<gateway_settings>
@@ -38,7 +44,9 @@
   Settings.StopGrace = std::chrono::milliseconds(static_cast<std::int64_t>(
       MillisPerSecond *
       Reader.number("stop_grace_s", 6, 0.5, MaxGraceSeconds)));
-  Settings.Capacity = Reader.number("cpu_share", 1, 0.001, 1024);
+  Settings.Capacity =
+      std::min(Reader.number("cpu_share", 1, 0.001, 1024),
+               CoresPerMegabit * Reader.number("link_mbps", 1e6, 0.001, 1e6));
   Settings.RetryPercent = Percent * ShareOfAllowedRetries *
                           Reader.number("retry_ratio", 0.2, 0, 10);
   Settings.Level = levelFromName(Reader.choice(
--- a/src/core/vm_directory.cpp
+++ b/src/core/vm_directory.cpp
@@ -17,8 +17,10 @@
 /// Subject by which the hubs of a zone are chosen.
 constexpr std::string_view HubSubject = "#hub";
 
-std::uint64_t hubWeight(const entry_vm &Vm) {
-  return rendezvousWeight(Vm.Id.Name, HubSubject);
+/// Orders the VMs that hubs are taken from: larger ones first, since a hub
+/// serves the whole zone.
+std::pair<double, std::uint64_t> hubWeight(const entry_vm &Vm) {
+  return {Vm.Capacity, rendezvousWeight(Vm.Id.Name, HubSubject)};
 }
 
 std::uint32_t nameHash(std::string_view Name) {
@@ -181,7 +183,27 @@
   });
 }
 
-std::vector<entry_vm> vm_directory::heartbeatPeers(time_point Now) const {
+vm_directory::member *vm_directory::silentHubInTurn(time_point Now) {
+  const std::vector<entry_vm> Hubs = hubsOf(Self.Zone, Now);
+  const bool HasAll = Hubs.size() == Settings.HubsPerZone;
+  member *Next = nullptr;
+  for (auto &[Name, Member] : Members) {
+    const bool IsSilent = Member.Vm.Zone == Self.Zone && !Member.Vm.Leaving &&
+                          !mayBeHub(Member, Now);
+    const bool WouldBeHub =
+        !HasAll || hubWeight(Member.Vm) > hubWeight(Hubs.back());
+    if (!IsSilent || !WouldBeHub)
+      continue;
+    const bool IsEarlier =
+        !Next || std::pair(Next->ProbedAt, hubWeight(Member.Vm)) >
+                     std::pair(Member.ProbedAt, hubWeight(Next->Vm));
+    if (IsEarlier)
+      Next = &Member;
+  }
+  return Next;
+}
+
+std::vector<entry_vm> vm_directory::heartbeatPeers(time_point Now) {
   std::set<std::string> Zones{Self.Zone};
   if (isHub(Now)) {
     for (const auto &[Name, Member] : Members) {
@@ -196,6 +218,10 @@
         Peers.push_back(Hub);
     }
   }
+  if (member *Silent = silentHubInTurn(Now)) {
+    Silent->ProbedAt = Now;
+    Peers.push_back(Silent->Vm);
+  }
   return Peers;
 }
 
@@ -224,7 +250,7 @@
 }
 
 int vm_directory::readerRank(bool OwnReadsFail, time_point Now) const {
-  const std::uint64_t Own = hubWeight(Self);
+  const auto Own = hubWeight(Self);
   if (OwnReadsFail || !isHub(Now))
     return static_cast<int>(Settings.HubsPerZone);
   int Before = 0;
@@ -251,4 +277,22 @@
   return Silent;
 }
 
+bool vm_directory::hearsMostOfZone(time_point Now) const {
+  std::size_t Mates = 0;
+  std::size_t Heard = 0;
+  for (const auto &[Name, Member] : Members) {
+    if (Member.Vm.Zone != Self.Zone)
+      continue;
+    ++Mates;
+    Heard += Now - Member.HeardAt < Settings.HeardWithin ? 1 : 0;
+  }
+  return 2 * Heard >= Mates;
+}
+
+std::vector<std::string> vm_directory::removable(time_point Now) const {
+  return silentFor(hearsMostOfZone(Now) ? Settings.RemoveAfter
+                                        : Settings.RemoveAfterAlone,
+                   Now);
+}
+
 } // namespace agatedale
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -3,6 +3,7 @@
 #include "agatedale/gateway_node.h"
 
 #include "../core/log.h"
+#include "agatedale/copy_pace.h"
 #include "agatedale/metrics.h"
 #include "group_host.h"
 #include "knowledge.h"
@@ -33,11 +34,14 @@
 constexpr duration HeartbeatInterval = std::chrono::milliseconds(250);
 constexpr duration HeartbeatTimeout = std::chrono::milliseconds(500);
 
+/// News causes heartbeats of its own, but not one for each row of many that
+/// change one after the other, as when a fleet starts.
+constexpr duration BeatGap = std::chrono::milliseconds(50);
+
 /// Pause before the own row is written again after a failure.
 constexpr duration RegisterPause = std::chrono::milliseconds(500);
 
-/// A VM of the own zone that was silent for this long is taken off the list.
-constexpr duration RemoveSilentAfter = std::chrono::seconds(5);
+/// How often VMs that were silent for long are looked for.
 constexpr duration CleanInterval = std::chrono::seconds(1);
 
 /// The platform sends no new connections after two failed questions, one a
@@ -97,7 +101,10 @@
   void everyHeartbeat();
   void everyClean();
   void beat();
-  wire_gateway::Heartbeat makeHeartbeat(const std::string &Peer) const;
+  void beatSoon();
+  wire_gateway::Heartbeat makeHeartbeat(const std::string &Peer);
+  void addNews(wire_gateway::Heartbeat &Message, const std::string &Peer,
+               time_point Now);
   void addZoneMates(wire_gateway::Heartbeat &Message, time_point Now) const;
   void connectToOwners();
   wire_gateway::Heartbeat onHeartbeat(const wire_gateway::Heartbeat &Message);
@@ -123,6 +130,9 @@
   std::unique_ptr<listener> Readiness;
   std::unique_ptr<listener> MetricsListener;
   std::map<std::string, std::vector<std::uint64_t>> PeerPositions;
+  copy_pace Copies;
+  time_point LastBeat{};
+  bool BeatIsDue = false;
   bool Registering = false;
   bool Registered = false;
   bool Stopping = false;
@@ -144,7 +154,7 @@
   Knowledge = std::make_unique<knowledge>(
       Settings, Vms, *Worker,
       knowledge::handlers{[this] { onView(); }, [this] { onVms(); },
-                          [this] { beat(); }});
+                          [this] { beatSoon(); }});
   peer_hub::handlers Handlers;
   Handlers.OnHeartbeat = [this](const auto &Message) {
     return onHeartbeat(Message);
@@ -257,9 +267,19 @@
   Loop->after(HeartbeatInterval, [this] { everyHeartbeat(); });
 }
 
+void gateway_node::impl::beatSoon() {
+  if (BeatIsDue)
+    return;
+  BeatIsDue = true;
+  Loop->after(std::max(duration::zero(), LastBeat + BeatGap - bootNow()),
+              [this] { beat(); });
+}
+
 void gateway_node::impl::beat() {
   if (Ending)
     return;
+  BeatIsDue = false;
+  LastBeat = bootNow();
   for (const entry_vm &Peer : Vms.heartbeatPeers(bootNow())) {
     Hub->heartbeat(Peer, makeHeartbeat(Peer.Id.Name), HeartbeatTimeout,
                    [this, Peer](const wire_gateway::Heartbeat *Reply) {
@@ -272,7 +292,7 @@
 }
 
 wire_gateway::Heartbeat
-gateway_node::impl::makeHeartbeat(const std::string &Peer) const {
+gateway_node::impl::makeHeartbeat(const std::string &Peer) {
   wire_gateway::Heartbeat Message;
   Message.set_vm(Settings.Vm);
   Message.set_incarnation(Vms.self().Id.Incarnation);
@@ -286,15 +306,27 @@
   const auto Listed = Vms.find(Peer);
   if (Listed && Listed->Zone == Settings.Zone)
     addZoneMates(Message, Now);
+  addNews(Message, Peer, Now);
+  return Message;
+}
+
+void gateway_node::impl::addNews(wire_gateway::Heartbeat &Message,
+                                 const std::string &Peer, time_point Now) {
+  const store_mirror &Mirror = Knowledge->mirror();
   const auto Known = PeerPositions.find(Peer);
   if (Known == PeerPositions.end() || !Mirror.isComplete())
-    return Message;
-  for (const store_table Table : AllStoreTables) {
-    const std::uint64_t Position =
-        Known->second[static_cast<std::size_t>(Table)];
-    *Message.add_news() = toMessage(Mirror.newsSince(Table, Position), Now);
-  }
-  return Message;
+    return;
+  std::vector<table_news> News;
+  for (const store_table Table : AllStoreTables)
+    News.push_back(Mirror.newsSince(
+        Table, Known->second[static_cast<std::size_t>(Table)]));
+  const bool IsCopy =
+      std::any_of(News.begin(), News.end(),
+                  [](const table_news &Item) { return Item.Whole; });
+  if (IsCopy && !Copies.mayGive(Peer, Now))
+    return;
+  for (const table_news &Item : News)
+    *Message.add_news() = toMessage(Item, Now);
 }
 
 void gateway_node::impl::addZoneMates(wire_gateway::Heartbeat &Message,
@@ -345,7 +377,7 @@
       });
   if (!IsListed && Registered && !Stopping)
     registerSelf();
-  beat();
+  beatSoon();
 }
 
 void gateway_node::impl::onView() {
@@ -394,7 +426,7 @@
       Vms.ownerOf("#cleaner", Settings.Zone, Settings.Region, Now);
   if (!Cleaner || Cleaner->Id.Name != Settings.Vm)
     return;
-  for (const std::string &Silent : Vms.silentFor(RemoveSilentAfter, Now)) {
+  for (const std::string &Silent : Vms.removable(Now)) {
     Worker->remove(
         store_table::Vms, Silent, Knowledge->vmRowVersion(Silent),
         [Silent](const result<success> &Done) {
--- a/src/gateway/knowledge.cpp
+++ b/src/gateway/knowledge.cpp
@@ -96,15 +96,12 @@
   }
 }
 
-std::vector<entry_vm> knowledge::listedVms() const {
+std::vector<entry_vm> knowledge::listedVms() {
+  VmRows.update(Mirror.rows(store_table::Vms), platform::decodeVm);
   std::vector<entry_vm> Listed;
-  for (const auto &[Key, Row] : Mirror.rows(store_table::Vms)) {
-    const result<entry_vm> Vm = platform::decodeVm(Key, Row.Value);
-    if (const error *Error = errorOf(Vm))
-      logLine(log_level::Warning, "row-unreadable", {{"why", Error->Message}});
-    else
-      Listed.push_back(valueOf(Vm));
-  }
+  Listed.reserve(VmRows.values().size());
+  for (const auto &[Key, Vm] : VmRows.values())
+    Listed.push_back(Vm);
   return Listed;
 }
 
@@ -161,19 +158,8 @@
 }
 
 std::vector<backend_server> knowledge::decodeServers() {
-  std::map<std::string, backend_server> Servers;
-  for (const auto &[Key, Row] : Mirror.rows(store_table::Servers)) {
-    const result<backend_server> Server =
-        platform::decodeServer(Key, Row.Value);
-    if (const error *Error = errorOf(Server)) {
-      // A row that stays unreadable is told once.
-      if (std::exchange(BadRows[Key], Row.Version) != Row.Version)
-        logLine(log_level::Warning, "row-unreadable",
-                {{"why", Error->Message}});
-      continue;
-    }
-    Servers.emplace(Key, valueOf(Server));
-  }
+  ServerRows.update(Mirror.rows(store_table::Servers), platform::decodeServer);
+  std::map<std::string, backend_server> Servers = ServerRows.values();
   keepLapsed(Servers);
   LastServers = Servers;
   std::vector<backend_server> List;
--- a/src/gateway/knowledge.h
+++ b/src/gateway/knowledge.h
@@ -7,6 +7,7 @@
 #include "agatedale/store_follower.h"
 #include "agatedale/store_mirror.h"
 #include "agatedale/vm_directory.h"
+#include "decoded_rows.h"
 #include "fleet_view.h"
 #include "store_worker.h"
 
@@ -54,7 +55,7 @@
   bool readsFail() const;
 
   /// Returns the entry VMs in the store's list.
-  std::vector<entry_vm> listedVms() const;
+  std::vector<entry_vm> listedVms();
 
   /// Returns the version of the row of \p Vm, or 0.
   std::uint64_t vmRowVersion(const std::string &Vm) const;
@@ -81,8 +82,9 @@
   std::uint64_t RulesVersion = 0;
   std::uint64_t RulesRowVersion = 0;
   std::map<std::string, backend_server> LastServers;
-  std::map<std::string, std::uint64_t> BadRows; ///< Logged, by row version.
-  bool StoreAway = false;                       ///< What is known grows old.
+  decoded_rows<backend_server> ServerRows;
+  decoded_rows<entry_vm> VmRows;
+  bool StoreAway = false; ///< What is known grows old.
   lapse_hold Hold;
   bool HoldWasActive = false;
   std::optional<time_point> LateAt; ///< When the read under way is late.
--- a/tests/unit/vm_directory_test.cpp
+++ b/tests/unit/vm_directory_test.cpp
@@ -4,7 +4,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <map>
+#include <span>
 
 using namespace agatedale;
 using std::chrono::milliseconds;
@@ -15,6 +17,7 @@
 namespace {
 
 constexpr time_point Start{std::chrono::hours(1)};
+constexpr duration HeartbeatInterval = milliseconds(250);
 
 entry_vm vm(const std::string &Name, const std::string &Zone = "a",
             const std::string &Region = "r", double Capacity = 1) {
@@ -44,6 +47,25 @@
   return Vms;
 }
 
+/// Sends every heartbeat that is due and its answer, none of which is lost.
+void exchangeHeartbeats(std::vector<vm_directory> &Fleet, time_point Now) {
+  const auto Tell = [Now](const vm_directory &From, vm_directory &To) {
+    To.heard(From.self().Id.Name, true, false, Now);
+    for (const zone_mate &Mate : From.zoneMates(Now))
+      To.told(Mate);
+  };
+  for (vm_directory &Vms : Fleet) {
+    for (const entry_vm &Peer : Vms.heartbeatPeers(Now)) {
+      vm_directory &Other = *std::find_if(
+          Fleet.begin(), Fleet.end(), [&Peer](const vm_directory &Directory) {
+            return Directory.self().Id == Peer.Id;
+          });
+      Tell(Vms, Other);
+      Tell(Other, Vms);
+    }
+  }
+}
+
 std::string ownerName(const vm_directory &Vms, const std::string &Subject,
                       time_point Now = Start) {
   return Vms.ownerOf(Subject, "a", "r", Now)->Id.Name;
@@ -110,6 +132,59 @@
   BOOST_TEST(Total <= 2 * All.size());
 }
 
+// A hub that is choked while a fleet starts is heard by nobody for a second.
+BOOST_AUTO_TEST_CASE(VmsThatHeardNobodyFindEachOtherAgain) {
+  const std::vector<entry_vm> All = zoneOf(35);
+  std::vector<vm_directory> Fleet;
+  for (const entry_vm &Vm : All) {
+    Fleet.push_back(vm_directory::create(Vm, {}));
+    Fleet.back().setSelf(true, false);
+    Fleet.back().setListed(All, Start);
+  }
+  time_point Now = Start + seconds(2);
+  for (int Round = 0; Round < 12; ++Round, Now += HeartbeatInterval)
+    exchangeHeartbeats(Fleet, Now);
+  for (const vm_directory &Vms : Fleet) {
+    BOOST_TEST(Vms.silentFor(milliseconds(900), Now).empty(),
+               Vms.self().Id.Name << " does not hear all others");
+    BOOST_TEST(ownerName(Vms, "s", Now) == ownerName(Fleet[0], "s", Now));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(SilentHubIsProbedByFewHeartbeats) {
+  const std::vector<entry_vm> All = zoneOf(40);
+  std::size_t Total = 0;
+  for (const entry_vm &Vm : All) {
+    vm_directory Vms = vm_directory::create(Vm, {});
+    Vms.setListed(All, Start);
+    const time_point Now = Start + seconds(2);
+    for (const entry_vm &Heard : std::span(All).subspan(10))
+      Vms.heard(Heard.Id.Name, true, false, Now);
+    Total += Vms.heartbeatPeers(Now).size();
+  }
+  BOOST_TEST(Total <= 3 * All.size());
+}
+
+BOOST_AUTO_TEST_CASE(LargestVmsAreHubs) {
+  std::vector<entry_vm> All = zoneOf(20);
+  All[7].Capacity = 2;
+  All[13].Capacity = 3;
+  for (const entry_vm &Peer : directory(All[0], All).heartbeatPeers(Start))
+    BOOST_TEST(Peer.Capacity > 1, Peer.Id.Name << " is a hub");
+}
+
+BOOST_AUTO_TEST_CASE(VmThatHearsFewOfItsZoneRemovesNobodySoon) {
+  const std::vector<entry_vm> All = zoneOf(5);
+  vm_directory Alone = directory(All[0], All);
+  const time_point Now = Start + seconds(6);
+  BOOST_TEST(Alone.removable(Now).empty());
+  BOOST_TEST(Alone.removable(Start + seconds(16)).size() == 4U);
+  for (const char *Heard : {"vm-1", "vm-2", "vm-3"})
+    Alone.heard(Heard, true, false, Now);
+  BOOST_TEST(Alone.removable(Now) == std::vector<std::string>{"vm-4"},
+             boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(OneVmOfARegionReadsTheStore) {
   const std::vector<entry_vm> All = zoneOf(5);
   int Readers = 0;
