Repeats through another group draw on its retry budget; not run stays true across groups

Cause: a group's budget bounds its own repeats, but a request that its servers shed was offered to two more groups, whose servers it reached free of charge; and each offer earned anew. Change: an offer says how many servers and groups came before; a group earns at the first offer only and spends for one that was sent before. With that each group may keep 0.75 of what is allowed and not half. A read that may have run is no longer answered as not run when a later group refuses it. With it: what nothing called goes (dropIdle, group_host::load, AsOf, a parameter, a field).

--- a/include/agatedale/fair_queue.h
+++ b/include/agatedale/fair_queue.h
@@ -25,14 +25,16 @@
   int Weight = 1;
   time_point Deadline;
   bool Idempotent = false;
-  int Priority = 0;        ///< 0 is served first.
-  time_point Aim{};        ///< An answer is on time until then; none when zero.
-  std::string Route;       ///< Requests of one route take alike long.
-  int MaxAttempts = 0;     ///< Servers that may be sent it; 0: no bound.
-  int AttemptsMade = 0;    ///< Servers that were sent it.
-  int AvoidServer = -1;    ///< Index of a server that just failed it, or -1.
-  bool MayHaveRun = false; ///< An earlier attempt may have run it.
-  bool Repeatable = true;  ///< False once its body cannot be sent again.
+  int Priority = 0;       ///< 0 is served first.
+  time_point Aim{};       ///< An answer is on time until then; none when zero.
+  std::string Route;      ///< Requests of one route take alike long.
+  int MaxAttempts = 0;    ///< Servers that may be sent it; 0: no bound.
+  int AttemptsMade = 0;   ///< Servers that were sent it.
+  int AttemptsBefore = 0; ///< Servers that another group sent it to.
+  bool IsFirstOffer = true; ///< No other group was offered it.
+  int AvoidServer = -1;     ///< Index of a server that just failed it, or -1.
+  bool MayHaveRun = false;  ///< An earlier attempt may have run it.
+  bool Repeatable = true;   ///< False once its body cannot be sent again.
 };
 
 /// A bounded queue that serves client accounts in proportion to their weights
--- a/include/agatedale/verdict.h
+++ b/include/agatedale/verdict.h
@@ -46,8 +46,13 @@
   HomeUnreachable,
   LinkBudgetSpent,
   BodyIncomplete,
+  RetryBudgetSpent,
 };
 
+/// Returns what is known of a request after attempts that ended with
+/// \p Earlier and \p Last: a later refusal proves nothing of an earlier run.
+verdict combined(verdict Earlier, verdict Last);
+
 /// Returns the token used in headers and logs, such as "not-run".
 std::string_view verdictName(verdict Verdict);
 
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -13,9 +13,10 @@
 constexpr double MaxGraceSeconds = 600;
 constexpr double MillisPerSecond = 1000;
 
-/// Half of the retries that the operators allow are left to chance: each VM
-/// keeps its share without asking the others.
-constexpr double ShareOfAllowedRetries = 0.5;
+/// Owners of groups each keep this share of what the operators allow, without
+/// asking the others; the rest is for owners that change, which start with a
+/// few retries saved up.
+constexpr double ShareOfAllowedRetries = 0.75;
 constexpr double Percent = 100;
 
 /// Processor time that goes with traffic: a request takes about 1.5 ms and
--- a/src/core/server_group.cpp
+++ b/src/core/server_group.cpp
@@ -57,7 +57,9 @@
                                                time_point Now) {
   std::vector<group_action> Actions;
   ++Counters.Submitted;
-  Budget.earn();
+  // Counted once for a request, at the first group that it is offered to.
+  if (Item.IsFirstOffer)
+    Budget.earn();
   const bool HasServer =
       ZoneIn &&
       std::any_of(Servers.begin(), Servers.end(), [](const server_state &S) {
@@ -71,6 +73,11 @@
     refuse(Item, refusal_reason::NoServer, Now, Actions);
     return Actions;
   }
+  // What other groups sent already makes this a repeat like any other.
+  if (Item.AttemptsBefore > 0 && !Budget.spend()) {
+    refuse(Item, refusal_reason::RetryBudgetSpent, Now, Actions);
+    return Actions;
+  }
   // An idle server takes the request whatever the past was like; else a group
   // whose typical time grew too long would refuse all and never learn better.
   const bool IsIdle = Queue.empty() && chooseServer(-1, Now) >= 0;
--- a/src/core/verdict.cpp
+++ b/src/core/verdict.cpp
@@ -47,6 +47,7 @@
     refusal_row{refusal_reason::HomeUnreachable, "home-unreachable", 503},
     refusal_row{refusal_reason::LinkBudgetSpent, "link-budget-spent", 503},
     refusal_row{refusal_reason::BodyIncomplete, "body-incomplete", 400},
+    refusal_row{refusal_reason::RetryBudgetSpent, "retry-budget-spent", 503},
 };
 
 const refusal_row &rowOf(refusal_reason Reason) {
@@ -59,6 +60,12 @@
 
 } // namespace
 
+verdict combined(verdict Earlier, verdict Last) {
+  const bool MayHaveRun =
+      Earlier == verdict::MayHaveRun && Last == verdict::NotRun;
+  return MayHaveRun ? verdict::MayHaveRun : Last;
+}
+
 std::string_view verdictName(verdict Verdict) {
   switch (Verdict) {
   case verdict::Answered:
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -15,7 +15,6 @@
 struct fleet_view {
   std::uint64_t Version = 0; ///< Of the operators' configuration.
   std::shared_ptr<const configuration> World;
-  time_point AsOf{}; ///< When the store vouched for it.
 };
 
 } // namespace agatedale
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -23,7 +23,9 @@
   int Priority = 0;
   bool Idempotent = false;
   int MaxAttempts = 1;
-  bool Relayed = false; ///< A VM passed it on to the owner already.
+  int AttemptsBefore = 0; ///< Servers that other groups sent it to.
+  int OffersBefore = 0;   ///< Groups that refused it.
+  bool Relayed = false;   ///< A VM passed it on to the owner already.
 };
 
 /// A server's answer, or a refusal with what is known about the request.
--- a/src/gateway/group_host.cpp
+++ b/src/gateway/group_host.cpp
@@ -80,6 +80,8 @@
   Item.Idempotent = Request.Idempotent;
   Item.Route = Request.Route;
   Item.MaxAttempts = Request.MaxAttempts;
+  Item.AttemptsBefore = Request.AttemptsBefore;
+  Item.IsFirstOffer = Request.OffersBefore == 0;
   Requests.emplace(Ticket,
                    hosted_request{std::move(Request), std::move(Done), "", 0});
   carryOut(Id, Hosted->Group.submit(Item, bootNow()));
@@ -213,11 +215,4 @@
     carryOut(Id, Hosted->Group.tick(Now));
 }
 
-std::optional<group_load> group_host::load(const group_id &Group) const {
-  const auto Found = Groups.find(Group);
-  if (Found == Groups.end())
-    return std::nullopt;
-  return Found->second->Group.load(bootNow());
-}
-
 } // namespace agatedale
--- a/src/gateway/group_host.h
+++ b/src/gateway/group_host.h
@@ -36,9 +36,6 @@
   /// Lets time pass in every group.
   void tick();
 
-  /// Returns the load of \p Group, which this VM may not dispatch for.
-  std::optional<group_load> load(const group_id &Group) const;
-
   /// Returns the requests that are queued or sent.
   std::size_t inProgress() const { return Requests.size(); }
   std::uint64_t connectionsMade() const { return Pool.connectionsMade(); }
--- a/src/gateway/knowledge.cpp
+++ b/src/gateway/knowledge.cpp
@@ -188,7 +188,6 @@
   Next->Version = RulesVersion;
   Next->World =
       std::make_shared<const configuration>(takeValue(std::move(World)));
-  Next->AsOf = Mirror.asOf();
   View = Next;
   if (RulesVersion != Before)
     logLine(log_level::Info, "configuration-in-force",
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -44,6 +44,7 @@
 
 constexpr int StatusNotFound = 404;
 constexpr int StatusUnavailable = 503;
+constexpr int StatusGatewayTimeout = 504;
 
 zone_choice_settings choiceSettings() {
   zone_choice_settings Settings;
@@ -83,6 +84,7 @@
   std::vector<std::string> Homes;
   std::set<group_id> Tried;
   int Attempts = 0;
+  verdict Known = verdict::NotRun; ///< Of the attempts so far.
   time_point ArrivedAt{};
   bool Done = false;
   event_loop::timer_id Timer = 0;
@@ -250,7 +252,11 @@
   if (Journey->Done)
     return;
   Journey->Attempts += Answer.Attempts;
+  Journey->Known = combined(Journey->Known, Answer.Verdict);
+  Answer.Verdict = Journey->Known;
   Journey->Request.MaxAttempts -= Answer.Attempts;
+  Journey->Request.AttemptsBefore = Journey->Attempts;
+  ++Journey->Request.OffersBefore;
   const bool MayRepeat =
       Answer.Verdict != verdict::Answered &&
       maySendAgain(Answer.Verdict, Journey->Request.Idempotent) &&
@@ -265,11 +271,11 @@
   conclude(Journey, std::move(Answer));
 }
 
-http_answer_message request_router::refusal(const journey &,
-                                            const forward_answer &Answer) {
+http_answer_message request_router::refusal(const forward_answer &Answer) {
   http_answer_message Message;
   if (Answer.Verdict != verdict::NotRun) {
-    Message.Status = statusOf(Answer.Reason);
+    // The reason may be that of a later group, which would say "not run".
+    Message.Status = std::max(statusOf(Answer.Reason), StatusGatewayTimeout);
     return Message;
   }
   Message.Status = StatusUnavailable;
@@ -311,7 +317,7 @@
                   label("reason", reasonName(Answer.Reason)));
   if (!Journey->Exchange)
     return;
-  Journey->Exchange->answer(Served ? Answer.Answer : refusal(*Journey, Answer));
+  Journey->Exchange->answer(Served ? Answer.Answer : refusal(Answer));
   Journey->Exchange = nullptr;
 }
 
--- a/src/gateway/request_router.h
+++ b/src/gateway/request_router.h
@@ -65,8 +65,7 @@
   void conclude(const journey_ptr &Journey, forward_answer Answer);
   void onOverdue(const journey_ptr &Journey);
   void abandon(const journey_ptr &Journey);
-  http_answer_message refusal(const journey &Journey,
-                              const forward_answer &Answer);
+  http_answer_message refusal(const forward_answer &Answer);
 
   event_loop &Loop;
   gateway_settings Settings;
--- a/src/gateway/server_pool.cpp
+++ b/src/gateway/server_pool.cpp
@@ -339,11 +339,4 @@
   });
 }
 
-void server_pool::dropIdle(const std::string &Address) {
-  const auto Known = std::move(Idle[Address]);
-  Idle.erase(Address);
-  for (const std::shared_ptr<server_connection> &Connection : Known)
-    Connection->close();
-}
-
 } // namespace agatedale
--- a/src/gateway/server_pool.h
+++ b/src/gateway/server_pool.h
@@ -64,9 +64,6 @@
   void ask(const ask_order &Order, const std::string &Path,
            server_call::done Done);
 
-  /// Closes the idle connections to \p Address.
-  void dropIdle(const std::string &Address);
-
   std::uint64_t connectionsMade() const { return ConnectionsMade; }
 
 private:
--- a/src/gateway/wire_convert.cpp
+++ b/src/gateway/wire_convert.cpp
@@ -47,6 +47,9 @@
   Message.set_priority(Request.Priority);
   Message.set_idempotent(Request.Idempotent);
   Message.set_attempts_left(static_cast<std::uint32_t>(Request.MaxAttempts));
+  Message.set_attempts_before(
+      static_cast<std::uint32_t>(Request.AttemptsBefore));
+  Message.set_offers_before(static_cast<std::uint32_t>(Request.OffersBefore));
   Message.set_id(Request.Id);
   Message.set_relayed(Request.Relayed);
   return Message;
@@ -70,6 +73,8 @@
   Request.Priority = Message.priority();
   Request.Idempotent = Message.idempotent();
   Request.MaxAttempts = static_cast<int>(Message.attempts_left());
+  Request.AttemptsBefore = static_cast<int>(Message.attempts_before());
+  Request.OffersBefore = static_cast<int>(Message.offers_before());
   Request.Id = Message.id();
   Request.Relayed = Message.relayed();
   return Request;
--- a/tests/unit/server_group_test.cpp
+++ b/tests/unit/server_group_test.cpp
@@ -134,6 +134,48 @@
   BOOST_TEST(verdictName(Refused[0].Verdict) == "may-have-run");
 }
 
+// Every server of a service sheds half of its requests: each group tries its
+// own again, and what it refuses is offered to the next two groups.
+BOOST_AUTO_TEST_CASE(RepeatsOverSeveralGroupsStayWithinTheBudget) {
+  constexpr int Requests = 2000;
+  constexpr int Groups = 4;
+  std::vector<server_group> All;
+  All.reserve(Groups);
+  for (int I = 0; I < Groups; ++I)
+    All.push_back(group(10));
+  std::mt19937_64 Random(1);
+  int Arrivals = 0;
+  int Arrived = 0;
+  for (int I = 0; I < Requests; ++I) {
+    const time_point Now = Start + milliseconds(5 * I);
+    int Before = 0;
+    bool Served = false;
+    for (int Offer = 0; Offer < 3 && !Served; ++Offer) {
+      server_group &Group = All[static_cast<std::size_t>((I + Offer) % Groups)];
+      work_item Item = item(static_cast<request_id>(I + 1));
+      Item.Deadline = Now + milliseconds(1000);
+      Item.AttemptsBefore = Before;
+      Item.IsFirstOffer = Offer == 0;
+      auto Orders = only<send_order>(Group.submit(Item, Now));
+      while (!Orders.empty()) {
+        ++Before;
+        Served = Random() % 2 == 0;
+        Orders = only<send_order>(Group.finish(
+            Orders.front().Attempt,
+            Served ? attempt_outcome::Answered : attempt_outcome::Shed, Now));
+      }
+      // What is still queued is not part of this test.
+      Group.withdraw(Item.Id);
+    }
+    Arrivals += Before;
+    Arrived += Before > 0 ? 1 : 0;
+  }
+  const int Allowed = Requests / 10 + Groups * 10;
+  BOOST_TEST(Arrivals - Arrived <= Allowed, "expected at most "
+                                                << Allowed << " repeats, got "
+                                                << Arrivals - Arrived);
+}
+
 BOOST_AUTO_TEST_CASE(RetriesStayWithinTheBudget) {
   server_group Group = group(30, 10);
   int Sent = 0;
--- a/tests/unit/small_units_test.cpp
+++ b/tests/unit/small_units_test.cpp
@@ -32,7 +32,7 @@
 
 BOOST_AUTO_TEST_CASE(EveryReasonHasItsOwnNameAndAnErrorStatus) {
   std::set<std::string_view> Names;
-  const int Last = static_cast<int>(refusal_reason::BodyIncomplete);
+  const int Last = static_cast<int>(refusal_reason::RetryBudgetSpent);
   for (int I = 1; I <= Last; ++I) {
     const auto Reason = static_cast<refusal_reason>(I);
     BOOST_TEST(Names.insert(reasonName(Reason)).second,
@@ -168,4 +168,12 @@
   BOOST_TEST(!Members.preferredOwner("g", "a", "r", Start).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(LaterRefusalProvesNothingOfAnEarlierRun) {
+  BOOST_TEST(
+      (combined(verdict::MayHaveRun, verdict::NotRun) == verdict::MayHaveRun));
+  BOOST_TEST((combined(verdict::NotRun, verdict::NotRun) == verdict::NotRun));
+  BOOST_TEST(
+      (combined(verdict::MayHaveRun, verdict::Answered) == verdict::Answered));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
