Bodies of all requests together stay within an eighth of the memory

Cause: each body is within the operators' limit (64 MB on the sites), and nothing bounded them together; a few large uploads at once take more than a VM of 160 MB has, and the process is killed with all that it serves. Change: body_budget, shared by the callers' connections and by requests of peers; what does not fit is refused at once as not run, with a time to come back. A body is held once and not twice while it is served.

--- /dev/null
+++ b/include/agatedale/body_budget.h
@@ -0,0 +1,66 @@
+/// \file
+/// Bounds the memory that requests' bodies take together.
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <utility>
+
+namespace agatedale {
+
+/// The bytes of bodies that a process holds. The load that it answers: many
+/// callers send large bodies at once, or send them slowly; each stays within
+/// the operators' limit, and all of them together would take more memory than
+/// the VM has.
+class body_budget {
+public:
+  explicit body_budget(std::size_t Limit) : Limit(Limit) {}
+
+  std::size_t held() const { return Held; }
+
+private:
+  friend class body_share;
+
+  std::size_t Limit;
+  std::size_t Held = 0;
+};
+
+/// What one request holds of a budget, given back when it is gone.
+///
+///   body_share Share(Budget);
+///   if (!Share.resize(Bytes)) refuse(refusal_reason::MemoryFull);
+class body_share {
+public:
+  body_share() = default;
+  explicit body_share(std::shared_ptr<body_budget> Budget)
+      : Budget(std::move(Budget)) {}
+  body_share(body_share &&Other) noexcept
+      : Budget(std::move(Other.Budget)), Bytes(std::exchange(Other.Bytes, 0)) {}
+  body_share &operator=(body_share &&Other) noexcept {
+    std::swap(Budget, Other.Budget);
+    std::swap(Bytes, Other.Bytes);
+    return *this;
+  }
+  ~body_share() {
+    if (Budget)
+      Budget->Held -= Bytes;
+  }
+
+  /// Holds \p NewBytes from now on. Returns false, and changes nothing, when
+  /// they do not fit.
+  bool resize(std::size_t NewBytes) {
+    if (!Budget)
+      return true;
+    if (NewBytes > Bytes && Budget->Held - Bytes + NewBytes > Budget->Limit)
+      return false;
+    Budget->Held = Budget->Held - Bytes + NewBytes;
+    Bytes = NewBytes;
+    return true;
+  }
+
+private:
+  std::shared_ptr<body_budget> Budget;
+  std::size_t Bytes = 0;
+};
+
+} // namespace agatedale
--- a/include/agatedale/gateway_settings.h
+++ b/include/agatedale/gateway_settings.h
@@ -32,6 +32,8 @@
   std::chrono::milliseconds StopGrace{6000}; ///< From SIGTERM to SIGKILL.
   /// Share of a core that the process can use: less on a slow link.
   double Capacity = 1;
+  /// Bytes that the bodies of all requests may take together.
+  std::size_t BodyBytes = 32 << 20;
   double RetryPercent = 10; ///< Retries that a hundred requests earn.
   log_level Level = log_level::Info;
 
--- a/include/agatedale/verdict.h
+++ b/include/agatedale/verdict.h
@@ -47,6 +47,7 @@
   LinkBudgetSpent,
   BodyIncomplete,
   RetryBudgetSpent,
+  MemoryFull,
 };
 
 /// Returns what is known of a request after attempts that ended with
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -19,6 +19,12 @@
 constexpr double ShareOfAllowedRetries = 0.75;
 constexpr double Percent = 100;
 
+/// A body is held up to four times at once on its way to a peer: decoded, in
+/// the message, encoded, and received. Half of the memory is for them.
+constexpr double ShareForBodies = 0.125;
+constexpr double BytesPerMegabyte = 1 << 20;
+constexpr double DefaultMemoryMb = 256;
+
 /// Processor time that goes with traffic: a request takes about 1.5 ms and
 /// 80 kbit there and back (docs/CAPACITY.md).
 constexpr double CoresPerMegabit = 0.02;
@@ -48,6 +54,9 @@
   Settings.Capacity =
       std::min(Reader.number("cpu_share", 1, 0.001, 1024),
                CoresPerMegabit * Reader.number("link_mbps", 1e6, 0.001, 1e6));
+  Settings.BodyBytes = static_cast<std::size_t>(
+      ShareForBodies * BytesPerMegabyte *
+      Reader.number("memory_mb", DefaultMemoryMb, 16, 1 << 20));
   Settings.RetryPercent = Percent * ShareOfAllowedRetries *
                           Reader.number("retry_ratio", 0.2, 0, 10);
   Settings.Level = levelFromName(Reader.choice(
--- a/src/core/verdict.cpp
+++ b/src/core/verdict.cpp
@@ -48,6 +48,7 @@
     refusal_row{refusal_reason::LinkBudgetSpent, "link-budget-spent", 503},
     refusal_row{refusal_reason::BodyIncomplete, "body-incomplete", 400},
     refusal_row{refusal_reason::RetryBudgetSpent, "retry-budget-spent", 503},
+    refusal_row{refusal_reason::MemoryFull, "memory-full", 503},
 };
 
 const refusal_row &rowOf(refusal_reason Reason) {
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -2,12 +2,19 @@
 /// Decoding, ordering and timeouts of a caller's connection.
 #include "caller_connection.h"
 
+#include "../core/log.h"
+#include "agatedale/verdict.h"
+
 namespace agatedale {
 
 namespace {
 
 constexpr int StatusTimeout = 408;
 
+/// When to come back if there was no memory for a body: bodies are held for
+/// about as long as a request takes.
+constexpr const char *MemoryComeBackSeconds = "0.5";
+
 /// How long a caller may take to close after the last answer.
 constexpr duration LingerTime = std::chrono::seconds(1);
 
@@ -22,7 +29,7 @@
   if (!Owner)
     return;
   CloseAfter = Close || !KeepAlive || Owner->Context->Stopping;
-  Bytes = encodeAnswer(Answer, Request.Method == "HEAD", CloseAfter);
+  Bytes = encodeAnswer(Answer, ToHead, CloseAfter);
   Owner->sendReady();
 }
 
@@ -92,6 +99,7 @@
       Decoder = std::make_unique<request_decoder>(
           message_limits{static_cast<std::uint32_t>(Limits.HeaderBytes),
                          static_cast<std::uint64_t>(Limits.BodyBytes)});
+      Share = body_share(Context->Bodies);
       ContinueSent = false;
     }
     const bool WasReceiving = Decoder->hasBegun();
@@ -100,6 +108,10 @@
       fail(Decoder->failureStatus());
       return;
     }
+    if (!Share.resize(Decoder->bodyBytes())) {
+      failMemoryFull();
+      return;
+    }
     if (State == decode_state::NeedMore) {
       if (Decoder->expectsContinue() && !ContinueSent && Pending.empty()) {
         ContinueSent = true;
@@ -120,6 +132,8 @@
   const auto Exchange = std::make_shared<caller_exchange>();
   Exchange->KeepAlive = Decoder->keepsAlive();
   Exchange->Request = Decoder->take();
+  Exchange->ToHead = Exchange->Request.Method == "HEAD";
+  Exchange->Share = std::move(Share);
   Exchange->ReceivedAt = bootNow();
   Exchange->Connection = weak_from_this();
   NoMoreRequests = !Exchange->KeepAlive;
@@ -129,14 +143,28 @@
   Context->Serve(Exchange);
 }
 
-void caller_connection::fail(int Status) {
+void caller_connection::fail(int Status) { fail({Status, {}, ""}); }
+
+void caller_connection::failMemoryFull() {
+  logLine(log_level::Warning, "request-refused",
+          {{"reason", reasonName(refusal_reason::MemoryFull)},
+           {"verdict", verdictName(verdict::NotRun)},
+           {"body_bytes", Decoder->bodyBytes()},
+           {"bodies_held", Context->Bodies->held()}});
+  http_answer_message Answer{statusOf(refusal_reason::MemoryFull), {}, ""};
+  Answer.Headers.add("Retry-After", MemoryComeBackSeconds);
+  fail(Answer);
+}
+
+void caller_connection::fail(const http_answer_message &Answer) {
+  Share = body_share();
   NoMoreRequests = true;
   Decoder.reset();
   const auto Exchange = std::make_shared<caller_exchange>();
   Exchange->Connection = weak_from_this();
   Exchange->KeepAlive = false;
   Pending.push_back(Exchange);
-  Exchange->answer({Status, {}, ""}, true);
+  Exchange->answer(Answer, true);
 }
 
 void caller_connection::sendReady() {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -2,6 +2,7 @@
 /// A caller's connection: requests in, answers out in their order.
 #pragma once
 
+#include "agatedale/body_budget.h"
 #include "agatedale/configuration.h"
 #include "http_codec.h"
 #include "tcp_stream.h"
@@ -31,6 +32,8 @@
   friend class caller_connection;
 
   std::weak_ptr<caller_connection> Connection;
+  body_share Share; ///< Of the bytes that bodies may take.
+  bool ToHead = false;
   std::string Bytes; ///< The encoded answer.
   bool Answered = false;
   bool CloseAfter = false;
@@ -48,6 +51,7 @@
   /// What all connections of a listener share.
   struct context {
     caller_limits Limits;
+    std::shared_ptr<body_budget> Bodies; ///< None when null.
     bool Stopping = false; ///< Answers say that the connection ends.
     std::function<void(std::shared_ptr<caller_exchange>)> Serve;
     std::function<void(const std::shared_ptr<caller_connection> &)> Opened;
@@ -79,6 +83,8 @@
   void decodeAll();
   void serveDecoded();
   void fail(int Status);
+  void failMemoryFull();
+  void fail(const http_answer_message &Answer);
   void sendReady();
   void finish();
   void abandonPending();
@@ -88,6 +94,7 @@
   std::shared_ptr<tcp_stream> Stream;
   std::string Buffer;
   std::unique_ptr<request_decoder> Decoder;
+  body_share Share; ///< Of the request that is being received.
   bool ContinueSent = false;
   std::deque<std::shared_ptr<caller_exchange>> Pending;
   bool NoMoreRequests = false;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -184,6 +184,9 @@
   if (const error *Error = errorOf(MadeReadiness))
     return *Error;
   Readiness = takeValue(std::move(MadeReadiness));
+  const auto Bodies = std::make_shared<body_budget>(Settings.BodyBytes);
+  Callers->setBodies(Bodies);
+  Router->setBodies(Bodies);
   if (const std::optional<error> Error = openMetrics())
     return *Error;
   registerSelf();
--- a/src/gateway/http_codec.cpp
+++ b/src/gateway/http_codec.cpp
@@ -137,6 +137,10 @@
   return Parser->Parse.is_header_done();
 }
 
+std::size_t request_decoder::bodyBytes() const {
+  return Parser->Parse.get().body().size();
+}
+
 bool request_decoder::keepsAlive() const { return Parser->Parse.keep_alive(); }
 
 bool request_decoder::expectsContinue() const {
--- a/src/gateway/http_codec.h
+++ b/src/gateway/http_codec.h
@@ -41,6 +41,9 @@
   int failureStatus() const { return FailureStatus; }
   bool hasBegun() const { return Begun; }
   bool headerDone() const;
+
+  /// Returns the bytes of the body that have come.
+  std::size_t bodyBytes() const;
   bool keepsAlive() const;
   bool expectsContinue() const;
 
--- a/src/gateway/listener.h
+++ b/src/gateway/listener.h
@@ -25,6 +25,11 @@
 
   void setLimits(const caller_limits &Limits) { Context->Limits = Limits; }
 
+  /// Bounds what the bodies of all requests take together.
+  void setBodies(std::shared_ptr<body_budget> Bodies) {
+    Context->Bodies = std::move(Bodies);
+  }
+
   /// From now on every answer says that its connection ends.
   void endConnections() { Context->Stopping = true; }
   void closeIdle();
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -68,6 +68,7 @@
   case refusal_reason::OwnerLost:
   case refusal_reason::ServerShed:
   case refusal_reason::ServerUnreachable:
+  case refusal_reason::MemoryFull:
     return true;
   default:
     return false;
@@ -146,7 +147,8 @@
   Request.Priority = Route->Priority;
   Request.Idempotent = Route->Idempotent;
   Request.MaxAttempts = Route->MaxAttempts;
-  Request.Message = Message;
+  // The exchange needs it no more; a body is held once.
+  Request.Message = std::move(Message);
   ++InProgress;
   Exchange->OnAbandoned = [this, Journey] { abandon(Journey); };
   Journey->Timer = Loop.after(Request.Deadline + OverdueGrace - bootNow(),
@@ -365,7 +367,15 @@
     return Ticket;
   }
   forward_request Request = takeValue(std::move(Read));
-  const auto Finish = [this, Ticket, Done](const forward_answer &Answer) {
+  const auto Share = std::make_shared<body_share>(Bodies);
+  if (!Share->resize(Request.Message.Body.size())) {
+    forward_answer Refused;
+    Refused.Reason = refusal_reason::MemoryFull;
+    Done(toMessage(Refused));
+    return Ticket;
+  }
+  const auto Finish = [this, Ticket, Done,
+                       Share](const forward_answer &Answer) {
     PeerCancels.erase(Ticket);
     Done(toMessage(Answer));
   };
--- a/src/gateway/request_router.h
+++ b/src/gateway/request_router.h
@@ -32,6 +32,10 @@
 
   /// Sets the way to peers; it is made after the router.
   void setPeers(peer_hub &Hub) { Peers = &Hub; }
+  /// Bounds the bodies of requests that peers hand over.
+  void setBodies(std::shared_ptr<body_budget> NewBodies) {
+    Bodies = std::move(NewBodies);
+  }
   void setView(std::shared_ptr<const fleet_view> NewView) {
     View = std::move(NewView);
   }
@@ -73,6 +77,7 @@
   group_host &Host;
   metrics &Metrics;
   peer_hub *Peers = nullptr;
+  std::shared_ptr<body_budget> Bodies;
   std::shared_ptr<const fleet_view> View;
   zone_choice Choice;
   std::map<std::string, weighted_turns> Turns; ///< By route.
--- a/tests/unit/small_units_test.cpp
+++ b/tests/unit/small_units_test.cpp
@@ -32,7 +32,7 @@
 
 BOOST_AUTO_TEST_CASE(EveryReasonHasItsOwnNameAndAnErrorStatus) {
   std::set<std::string_view> Names;
-  const int Last = static_cast<int>(refusal_reason::RetryBudgetSpent);
+  const int Last = static_cast<int>(refusal_reason::MemoryFull);
   for (int I = 1; I <= Last; ++I) {
     const auto Reason = static_cast<refusal_reason>(I);
     BOOST_TEST(Names.insert(reasonName(Reason)).second,
