--- a/tests/unit/server_speed_test.cpp
+++ b/tests/unit/server_speed_test.cpp
@@ -147,6 +147,41 @@
   BOOST_TEST(Asked <= 60, "expected at most 60 a second, got " << Asked);
 }
 
+// A zone is taken over while its former owner, cut off, goes on: both pace the
+// same cold server. It bears 2.7 requests a second, and 9 at the most.
+BOOST_AUTO_TEST_CASE(ColdServerOfTwoOwnersGetsNoMoreThanItBears) {
+  constexpr double BorneAtMost = 2.7 * 1.5 + 5;
+  std::vector<server_group> Owners{group(1), group(1)};
+  for (server_group &Owner : Owners) {
+    service Service;
+    Service.Name = "orders";
+    Service.ColdPerSecond = 2.7;
+    Service.WarmUpAnswers = 1;
+    Owner.reconfigure(Service);
+  }
+  server_report Cold = told(1);
+  Cold.ColdLeft = std::chrono::seconds(3);
+  std::vector<time_point> SentAt;
+  request_id Next = 1;
+  for (int Ms = 0; Ms < 3000; Ms += 10) {
+    const time_point Now = Start + milliseconds(Ms);
+    Cold.ColdLeft = std::chrono::seconds(3) - milliseconds(Ms);
+    for (server_group &Owner : Owners) {
+      std::vector<group_action> Actions = Owner.submit(item(Next++, Now), Now);
+      for (const group_action &Action : Owner.onTold("s0", &Cold, Now))
+        Actions.push_back(Action);
+      for (const send_order &Order : only<send_order>(Actions)) {
+        SentAt.push_back(Now);
+        Owner.finish(Order.Attempt, attempt_outcome::Answered, Now, &Cold);
+      }
+    }
+  }
+  BOOST_TEST(SentAt.size() > 10U, "expected the server to be used");
+  for (std::size_t I = 9; I < SentAt.size(); ++I)
+    BOOST_TEST((SentAt[I] - SentAt[I - 9] >= std::chrono::seconds(1)),
+               "more than " << BorneAtMost << " in one second");
+}
+
 BOOST_AUTO_TEST_CASE(ToldColdnessPacesTheServer) {
   server_group_settings Settings;
   Settings.Service.ColdPerSecond = 2;
