A refusal by a server with room takes no capacity away

Cause: every refusal (not run) counted as a sign of a full server: its limit fell to one and it was paused for 0.1 to 10 s. Ruled out by the logs: too few servers (0 waited in calm seconds at the same load), the retry budget alone (600 of 4,000 refusals of the worst six seconds). Change: a refusal of a server that told a free slot and an empty queue within 150 ms is a failure for the outlier detector, not for the limit.

--- a/include/agatedale/server_group.h
+++ b/include/agatedale/server_group.h
@@ -254,6 +254,7 @@
     time_point ColdUntil{};
     outlier_detector Health;
     double ToldSlowness = 1;
+    bool ToldRoom = false; ///< It had a free slot and nothing waited.
     time_point ToldAt{};
     time_point AskedAt{};
     bool Asked = false; ///< An answer to the question is not in yet.
@@ -309,6 +310,8 @@
                      attempt_outcome Outcome, time_point Now);
   void recordHealth(server_state &State, attempt_outcome Outcome,
                     time_point Now);
+  bool refusedWithRoom(const server_state &State, attempt_outcome Outcome,
+                       time_point Now) const;
   void recordAnswer(server_state &State, const attempt &Attempt,
                     time_point Now);
   void retryOrRefuse(const work_item &Item, int Server, attempt_outcome Outcome,
--- a/src/core/server_group_servers.cpp
+++ b/src/core/server_group_servers.cpp
@@ -228,12 +228,23 @@
           : ServerSmoothing * (Scaled - State.SmoothedMicros);
 }
 
+/// A server that refuses though it has room is not overloaded but failing a
+/// part of its requests. Less load would not help it, and when all servers of a
+/// service do so, pauses would leave hardly any to serve.
+bool server_group::refusedWithRoom(const server_state &State,
+                                   attempt_outcome Outcome,
+                                   time_point Now) const {
+  return Outcome == attempt_outcome::Shed && State.ToldRoom &&
+         Now - State.ToldAt < ToldMemory;
+}
+
 void server_group::recordHealth(server_state &State, attempt_outcome Outcome,
                                 time_point Now) {
-  const bool SaysNothing = Outcome == attempt_outcome::NotSent ||
+  const bool IsFullShed =
+      Outcome == attempt_outcome::Shed && !refusedWithRoom(State, Outcome, Now);
+  const bool SaysNothing = IsFullShed || Outcome == attempt_outcome::NotSent ||
                            Outcome == attempt_outcome::Cancelled ||
                            Outcome == attempt_outcome::Draining ||
-                           Outcome == attempt_outcome::Shed ||
                            Outcome == attempt_outcome::BodyIncomplete;
   if (SaysNothing)
     return;
@@ -257,6 +268,8 @@
     State.Limit.onErrorAnswer(Now);
     return;
   case attempt_outcome::Shed:
+    if (refusedWithRoom(State, Outcome, Now))
+      return;
     State.Limit.onShed(Now);
     ++Counters.LimitCuts;
     return;
--- a/src/core/server_group_speed.cpp
+++ b/src/core/server_group_speed.cpp
@@ -42,6 +42,8 @@
 void server_group::note(server_state &State, const server_report &Report,
                         time_point Now) {
   State.ToldSlowness = Report.Slowness;
+  State.ToldRoom =
+      Report.Waiting == 0 && Report.Running < slotsOf(State.Server);
   State.ToldAt = Now;
   if (Report.ColdLeft)
     State.ColdUntil = Now + *Report.ColdLeft;
