--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -320,6 +320,7 @@
   if (Known == PeerPositions.end() || !Mirror.isComplete())
     return;
   std::vector<table_news> News;
+  News.reserve(AllStoreTables.size());
   for (const store_table Table : AllStoreTables)
     News.push_back(Mirror.newsSince(
         Table, Known->second[static_cast<std::size_t>(Table)]));
--- a/tests/unit/server_group_test.cpp
+++ b/tests/unit/server_group_test.cpp
@@ -152,7 +152,7 @@
     bool Served = false;
     for (int Offer = 0; Offer < 3 && !Served; ++Offer) {
       server_group &Group = All[static_cast<std::size_t>((I + Offer) % Groups)];
-      work_item Item = item(static_cast<request_id>(I + 1));
+      work_item Item = item(static_cast<request_id>(I) + 1);
       Item.Deadline = Now + milliseconds(1000);
       Item.AttemptsBefore = Before;
       Item.IsFirstOffer = Offer == 0;
