--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -25,8 +25,8 @@
 constexpr double BytesPerMegabyte = 1 << 20;
 constexpr double DefaultMemoryMb = 256;
 
-/// Processor time that goes with traffic: a request takes about 1.5 ms and
-/// 80 kbit there and back (docs/CAPACITY.md).
+/// A VM on the slowest link that is in use, 10 Mbit/s, counts like the VMs of
+/// the small sites, which have 0.2 cores.
 constexpr double CoresPerMegabit = 0.02;
 
 } // namespace
