--- a/include/agatedale/configuration.h
+++ b/include/agatedale/configuration.h
@@ -229,11 +229,10 @@
                                      const client_account &Account,
                                      std::span<const std::string> Known);
 
-/// Returns the region of \p Homes that runs the requests of \p Account with
-/// \p Key: the same one on every entry VM, so that a key which is sent again
-/// through another region meets its first run. \p Homes is not empty.
-std::string keyHome(std::span<const std::string> Homes,
-                    std::string_view Account, std::string_view Key);
+/// Returns the region of \p Homes, which is not empty, that claims idempotency
+/// keys: the first by name. It depends on the configuration only, so a key that
+/// is sent again through another region meets its first run.
+const std::string &keyHome(std::span<const std::string> Homes);
 
 /// Returns the lines that differ between two documents, each behind "+ " or
 /// "- ", in the order of their place.
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -1,7 +1,6 @@
 /// \file
 /// The configuration's own questions: groups, routes, zones.
 #include "agatedale/configuration.h"
-#include "agatedale/entry_vm.h"
 
 #include <fmt/format.h>
 
@@ -168,17 +167,8 @@
   return Homes;
 }
 
-std::string keyHome(std::span<const std::string> Homes,
-                    std::string_view Account, std::string_view Key) {
-  const std::string Subject = fmt::format("{}\n{}", Account, Key);
-  const auto Weight = [&Subject](const std::string &Region) {
-    return rendezvousWeight(Region, Subject);
-  };
-  return *std::max_element(
-      Homes.begin(), Homes.end(),
-      [&Weight](const std::string &Left, const std::string &Right) {
-        return Weight(Left) < Weight(Right);
-      });
+const std::string &keyHome(std::span<const std::string> Homes) {
+  return *std::min_element(Homes.begin(), Homes.end());
 }
 
 namespace {
--- a/src/node/request_path.cpp
+++ b/src/node/request_path.cpp
@@ -143,7 +143,7 @@
   // Each region claims keys for itself; a key that two of them could claim
   // would run twice when it is sent again through the other.
   if (!Routed.Key.empty())
-    Routed.Homes = {keyHome(Routed.Homes, Name, Routed.Key)};
+    Routed.Homes = {keyHome(Routed.Homes)};
   Routed.Route = Route;
   Routed.Service = Route->Service;
   Routed.Request = std::move(Request);
