Large messages: a full socket buffer is no reset; bytes accepted are always counted

Cause: tcp_stream::flush took POCO's exception for EAGAIN (sendBytes of a non-blocking socket throws 'Operation would block') as a reset, so every message that does not fit the socket's buffer failed, to servers and to callers, and bytesSent() was not advanced: the pool reported 'nothing was sent' after 64 KB. Change: temporary errors end the loop; bytes are counted as they are accepted; a failed send lets what the peer has answered be read before the stream ends, and the end is then a reset even where recv() reports an orderly close, because the failed send consumes the socket's error (an answer without a length would have counted as whole). Looked at for the same mistake: receiveBytes (returns -1 for EAGAIN; EINTR now handled), shutdownSend, getOption, acceptConnection and poll in the listener, connectNB (hides EINPROGRESS itself), the store's client (blocking sockets).

--- a/src/gateway/tcp_stream.cpp
+++ b/src/gateway/tcp_stream.cpp
@@ -7,6 +7,7 @@
 #include <netinet/tcp.h>
 
 #include <array>
+#include <cerrno>
 
 namespace agatedale {
 
@@ -24,6 +25,13 @@
 constexpr int KeepAliveIntervalSeconds = 1;
 constexpr int KeepAliveProbes = 2;
 
+/// Returns true if \p Failure only says that a non-blocking call has to be
+/// repeated later. POCO reports this as an exception for sends.
+bool isTemporary(const Poco::Exception &Failure) {
+  return Failure.code() == EAGAIN || Failure.code() == EWOULDBLOCK ||
+         Failure.code() == EINTR;
+}
+
 void configure(Poco::Net::StreamSocket &Socket) {
   Socket.setBlocking(false);
   Socket.setNoDelay(true);
@@ -76,7 +84,7 @@
 void tcp_stream::updateModes() {
   if (Closed)
     return;
-  const bool WantsWrite = !Connected || !Unsent.empty();
+  const bool WantsWrite = !Connected || hasUnsent();
   const int Wanted = (Paused ? 0 : PollSet::POLL_READ) | PollSet::POLL_ERROR |
                      (WantsWrite ? PollSet::POLL_WRITE : 0);
   if (Wanted == Modes)
@@ -121,14 +129,17 @@
     int Count = 0;
     try {
       Count = Socket.receiveBytes(Buffer.data(), Buffer.size());
-    } catch (const Poco::Exception &) {
-      end(stream_end::Reset);
+    } catch (const Poco::Exception &Failure) {
+      if (!isTemporary(Failure))
+        end(stream_end::Reset);
       return;
     }
     if (Count < 0)
       return;
     if (Count == 0) {
-      end(stream_end::ClosedByPeer);
+      // A failed send consumes the socket's error, so that a reset connection
+      // reads like one that was closed in an orderly way.
+      end(SendFailed ? stream_end::Reset : stream_end::ClosedByPeer);
       return;
     }
     Handlers.Received({Buffer.data(), static_cast<std::size_t>(Count)});
@@ -138,35 +149,61 @@
 }
 
 void tcp_stream::send(std::string_view Bytes) {
-  if (Closed || SendShutdownDone)
+  if (Closed || SendShutdownDone || SendFailed)
     return;
   Unsent.append(Bytes);
   if (Connected)
     flush();
 }
 
-void tcp_stream::flush() {
-  const std::shared_ptr<tcp_stream> Self = shared_from_this();
-  std::size_t Done = 0;
-  while (!Closed && Done < Unsent.size()) {
+std::size_t tcp_stream::sendUnsent() {
+  std::size_t Sent = 0;
+  while (hasUnsent()) {
     int Count = 0;
     try {
-      Count = Socket.sendBytes(Unsent.data() + Done,
-                               static_cast<int>(Unsent.size() - Done),
+      Count = Socket.sendBytes(Unsent.data() + UnsentOffset,
+                               static_cast<int>(Unsent.size() - UnsentOffset),
                                MSG_NOSIGNAL);
-    } catch (const Poco::Exception &) {
-      end(stream_end::Reset);
-      return;
+    } catch (const Poco::Exception &Failure) {
+      if (!isTemporary(Failure))
+        onSendFailed();
+      break;
     }
     if (Count <= 0)
       break;
-    Done += static_cast<std::size_t>(Count);
+    UnsentOffset += static_cast<std::size_t>(Count);
+    Sent += static_cast<std::size_t>(Count);
   }
-  BytesSent += Done;
-  Unsent.erase(0, Done);
+  if (!hasUnsent()) {
+    Unsent.clear();
+    UnsentOffset = 0;
+  }
+  BytesSent += Sent;
+  return Sent;
+}
+
+void tcp_stream::onSendFailed() {
+  SendFailed = true;
+  Unsent.clear();
+  UnsentOffset = 0;
+  // The peer may have answered before it closed the connection.
+  Loop.post([Weak = weak_from_this()] {
+    const std::shared_ptr<tcp_stream> Stream = Weak.lock();
+    if (!Stream || Stream->Closed)
+      return;
+    Stream->onReadable();
+    Stream->end(stream_end::Reset);
+  });
+}
+
+void tcp_stream::flush() {
   if (Closed)
     return;
-  if (Unsent.empty() && SendShutdownRequested && !SendShutdownDone) {
+  const std::shared_ptr<tcp_stream> Self = shared_from_this();
+  const std::size_t Sent = sendUnsent();
+  if (SendFailed)
+    return;
+  if (!hasUnsent() && SendShutdownRequested && !SendShutdownDone) {
     SendShutdownDone = true;
     try {
       Socket.shutdownSend();
@@ -176,7 +213,7 @@
     }
   }
   updateModes();
-  if (Unsent.empty() && Done > 0 && Handlers.Flushed)
+  if (!hasUnsent() && Sent > 0 && Handlers.Flushed)
     Handlers.Flushed();
 }
 
--- a/src/gateway/tcp_stream.h
+++ b/src/gateway/tcp_stream.h
@@ -58,7 +58,7 @@
 
   bool isConnected() const { return Connected; }
   bool isClosed() const { return Closed; }
-  bool hasUnsent() const { return !Unsent.empty(); }
+  bool hasUnsent() const { return UnsentOffset < Unsent.size(); }
 
   /// Returns the number of bytes that the socket has accepted.
   std::uint64_t bytesSent() const { return BytesSent; }
@@ -72,6 +72,8 @@
   void onConnected();
   void onReadable();
   void flush();
+  std::size_t sendUnsent();
+  void onSendFailed();
   void updateModes();
   void end(stream_end End);
 
@@ -79,12 +81,14 @@
   handlers Handlers;
   Poco::Net::StreamSocket Socket;
   std::string Unsent;
+  std::size_t UnsentOffset = 0; ///< Bytes of Unsent that the socket accepted.
   std::uint64_t BytesSent = 0;
   bool Connected = false;
   bool Closed = false;
   bool Paused = false;
   bool SendShutdownRequested = false;
   bool SendShutdownDone = false;
+  bool SendFailed = false;
   int Modes = 0;
 };
 
