Requests spread over all groups of a service, not the first one

Cause of the grown fleet's collapse: a gateway of a large fleet sends one or two requests a second and has no recent report of most groups, so their costs are equal, and group_selector took the first of them. Change: among groups of equal cost the choice is drawn by their slots. The draw comes from the caller, the decision stays pure.

--- a/include/agatedale/group_selector.h
+++ b/include/agatedale/group_selector.h
@@ -28,11 +28,15 @@
 struct group_candidate {
   group_id Group;
   duration NetworkLatency{};
+  int Slots = 1; ///< Of its servers; its share among equally good groups.
 };
 
 /// Selects a server group of a service by expected wait. The wait is computed
 /// from the load that the group's owner reported with its last answer and the
-/// requests that this node has sent since.
+/// requests that this node has sent since. Among groups with the same cost the
+/// choice is drawn at random by their slots: a node that sends only a few
+/// requests per second has no recent report of most groups, and a fixed order
+/// would make all nodes send to the same group.
 ///
 ///   group_selector Selector = group_selector::create(Settings);
 ///   Selector.onLoad(Group, Load, Now);
@@ -63,10 +67,12 @@
                                  std::string_view OwnZone, time_point Now,
                                  const group_id *Except = nullptr) const;
 
-  /// As above, with the network latency to each group.
+  /// As above, with the network latency to each group. \p Draw, at least 0 and
+  /// less than 1, selects among groups with the same cost.
   std::optional<group_id> choose(std::span<const group_candidate> Candidates,
                                  time_point Now,
-                                 const group_id *Except = nullptr) const;
+                                 const group_id *Except = nullptr,
+                                 double Draw = 0) const;
 
 private:
   struct group_state {
--- a/src/core/group_selector.cpp
+++ b/src/core/group_selector.cpp
@@ -11,6 +11,23 @@
 /// Cost penalty that ranks skipped groups last.
 constexpr duration SkippedCost = std::chrono::hours(1);
 
+/// Returns the group of \p Candidates at the fraction \p Draw of their slots.
+std::optional<group_id>
+drawBySlots(std::span<const group_candidate *const> Candidates, double Draw) {
+  int Total = 0;
+  for (const group_candidate *Candidate : Candidates)
+    Total += Candidate->Slots;
+  double Remaining = Draw * Total;
+  for (const group_candidate *Candidate : Candidates) {
+    Remaining -= Candidate->Slots;
+    if (Remaining < 0)
+      return Candidate->Group;
+  }
+  if (Candidates.empty())
+    return std::nullopt;
+  return Candidates.back()->Group;
+}
+
 } // namespace
 
 void group_selector::onLoad(const group_id &Group, const group_load &Load,
@@ -67,23 +84,26 @@
 
 std::optional<group_id>
 group_selector::choose(std::span<const group_candidate> Candidates,
-                       time_point Now, const group_id *Except) const {
-  std::optional<group_id> Best;
+                       time_point Now, const group_id *Except,
+                       double Draw) const {
+  std::vector<const group_candidate *> Best;
   duration BestCost = duration::max();
   static const group_state NoReport;
-  for (const auto &[Group, NetworkLatency] : Candidates) {
-    const auto Found = States.find(Group);
+  for (const group_candidate &Candidate : Candidates) {
+    const auto Found = States.find(Candidate.Group);
     const group_state &State = Found == States.end() ? NoReport : Found->second;
     const bool IsSkipped =
-        Now < State.SkippedUntil || (Except && Group == *Except);
-    const duration Cost = expectedWait(State, Now) + NetworkLatency +
+        Now < State.SkippedUntil || (Except && Candidate.Group == *Except);
+    const duration Cost = expectedWait(State, Now) + Candidate.NetworkLatency +
                           (IsSkipped ? SkippedCost : duration::zero());
-    if (Cost >= BestCost)
+    if (Cost > BestCost)
       continue;
+    if (Cost < BestCost)
+      Best.clear();
     BestCost = Cost;
-    Best = Group;
+    Best.push_back(&Candidate);
   }
-  return Best;
+  return drawBySlots(Best, Draw);
 }
 
 } // namespace agatedale
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -61,6 +61,14 @@
   return Host.substr(0, Host.find(':'));
 }
 
+/// Returns the slots of the servers that accept requests.
+int usableSlots(const server_group_spec &Spec) {
+  int Slots = 0;
+  for (const backend_server &Server : Spec.Servers)
+    Slots += Server.Leaving ? 0 : std::max(Server.Slots, 1);
+  return Slots;
+}
+
 bool isRetriableOnAnotherGroup(refusal_reason Reason) {
   switch (Reason) {
   case refusal_reason::CannotBeOnTime:
@@ -178,22 +186,22 @@
                         std::find(ActiveRequest.HomeRegions.begin(),
                                   ActiveRequest.HomeRegions.end(),
                                   Region) != ActiveRequest.HomeRegions.end();
-    const bool HasServer = std::any_of(
-        Spec.Servers.begin(), Spec.Servers.end(),
-        [](const backend_server &Server) { return !Server.Leaving; });
-    if (!IsHome || !HasServer)
+    const int Slots = usableSlots(Spec);
+    if (!IsHome || Slots == 0)
       continue;
     const duration Hop = Spec.Id.Zone == Settings.Zone ? duration::zero()
                          : Region == Settings.Region   ? CrossZoneLatency
                                                        : CrossRegionLatency;
-    Found.push_back({Spec.Id, Hop});
+    Found.push_back({Spec.Id, Hop, Slots});
   }
   return Found;
 }
 
 void request_router::dispatch(const active_request_ptr &ActiveRequest) {
   const time_point Now = bootNow();
-  const auto Group = Selector.choose(candidates(*ActiveRequest), Now);
+  std::uniform_real_distribution<double> Draw(0, 1);
+  const auto Group =
+      Selector.choose(candidates(*ActiveRequest), Now, nullptr, Draw(Random));
   if (!Group) {
     forward_response None;
     None.Reason = refusal_reason::NoServer;
