Server groups keep their servers, and have the size that an entry VM bears

(2) Groups were cut from the sorted list in turn, so a server that joined or left moved nearly all others to another group, whose owner knew nothing of their requests in flight, speed and warm-up: at each replacement of a release. Change: partitionServers (rendezvous hashing with bounded size) and maxGroupServers (from the capacity at which half of the fleet's capacity is in VMs as large or larger; all VMs compute it from the replicated list). agatedale-entry keeps its bound of 32.

--- a/include/agatedale/configuration.h
+++ b/include/agatedale/configuration.h
@@ -144,6 +144,8 @@
   std::vector<backend_server> Servers;
   std::vector<route> Routes;
   caller_limits Callers;
+  /// Maximum number of servers in a group.
+  std::size_t GroupServers = MaxGroupServers;
 };
 
 /// A validated, immutable version of the operators' configuration.
@@ -219,6 +221,7 @@
   void buildGroups();
 
   std::string Document;
+  std::size_t GroupServers = MaxGroupServers;
   caller_limits Callers;
   std::vector<std::string> Regions;
   std::map<std::string, availability_zone> Zones;
--- /dev/null
+++ b/include/agatedale/server_partition.h
@@ -0,0 +1,29 @@
+/// \file
+/// Partition of the servers of a service in a zone into server groups.
+#pragma once
+
+#include "agatedale/configuration.h"
+
+#include <cstddef>
+#include <span>
+#include <vector>
+
+namespace agatedale {
+
+struct entry_vm;
+
+/// Partitions \p Servers into groups of at most \p MaxServers. Every node that
+/// knows the same servers computes the same groups. A server that joins or
+/// leaves moves only few others to another group, because a moved server loses
+/// what its owner knows of it: requests in flight, speed and warm-up.
+std::vector<std::vector<backend_server>>
+partitionServers(std::span<const backend_server> Servers,
+                 std::size_t MaxServers);
+
+/// Returns the maximum number of servers in a group that an entry VM of the
+/// usual capacity of \p Vms can dispatch for: the capacity at which half of the
+/// fleet's capacity is in VMs of this or a larger capacity. One VM of another
+/// size does not change it.
+std::size_t maxGroupServers(std::span<const entry_vm> Vms);
+
+} // namespace agatedale
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Server groups, route lookup, zones and document diffs.
 #include "agatedale/configuration.h"
+#include "agatedale/server_partition.h"
 
 #include <fmt/format.h>
 
@@ -41,15 +42,14 @@
   for (const backend_server &Server : Servers)
     ServersByServiceAndZone[{Server.Service, Server.Zone}].push_back(Server);
   for (const auto &[ServiceAndZone, Members] : ServersByServiceAndZone) {
-    const std::size_t Parts =
-        (Members.size() + MaxGroupServers - 1) / MaxGroupServers;
-    for (std::size_t Part = 0; Part < Parts; ++Part) {
-      server_group_spec Spec{
-          {ServiceAndZone.first, ServiceAndZone.second, static_cast<int>(Part)},
-          {}};
-      for (std::size_t I = Part; I < Members.size(); I += Parts)
-        Spec.Servers.push_back(Members[I]);
-      Groups.push_back(std::move(Spec));
+    auto Parts = partitionServers(Members, GroupServers);
+    for (std::size_t Part = 0; Part < Parts.size(); ++Part) {
+      // With few servers a part may get none.
+      if (Parts[Part].empty())
+        continue;
+      Groups.push_back({{ServiceAndZone.first, ServiceAndZone.second,
+                         static_cast<int>(Part)},
+                        std::move(Parts[Part])});
     }
   }
 }
@@ -88,6 +88,7 @@
   Config.Servers = std::move(Parts.Servers);
   Config.Routes = std::move(Parts.Routes);
   Config.Callers = Parts.Callers;
+  Config.GroupServers = Parts.GroupServers;
   Config.buildGroups();
   return Config;
 }
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -3,6 +3,7 @@
 #include "fleet_state.h"
 
 #include "../core/log.h"
+#include "agatedale/server_partition.h"
 #include "platform/decode.h"
 #include "platform/names.h"
 
@@ -91,9 +92,12 @@
   // The end of an outage starts the grace period, which rebuild() depends on.
   checkStoreAge();
   if (Result == store_mirror::apply_result::Changed) {
-    if (Update.Table == store_table::Vms)
-      Handlers.OnVmsChanged();
-    else
+    if (Update.Table != store_table::Vms) {
+      rebuild();
+      return;
+    }
+    Handlers.OnVmsChanged();
+    if (maxGroupServers(listedVms()) != GroupServers)
       rebuild();
   }
 }
@@ -181,6 +185,8 @@
   configuration_parts Parts = *ActiveParts;
   Parts.Servers = std::move(Servers);
   Parts.Zones = zones();
+  GroupServers = maxGroupServers(listedVms());
+  Parts.GroupServers = GroupServers;
   result<configuration> Configuration =
       configuration::fromParts(std::move(Parts));
   if (const error *Error = errorOf(Configuration)) {
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -82,6 +82,7 @@
   std::shared_ptr<const fleet_snapshot> View;
   std::optional<configuration_parts> ActiveParts;
   std::uint64_t ActiveVersion = 0;
+  std::size_t GroupServers = 0; ///< Of the active snapshot.
   std::uint64_t LastRowVersion = 0;
   std::map<std::string, backend_server> LastServers;
   decoded_rows<backend_server> ServerRows;
