Directory of VMs without work that grows with the fleet's square; paced registration

Each of the 59 zone members in each heartbeat was looked up by hashing the names of all 471 VMs, hubs were copied and sorted anew with hashes in each comparison, and on hubs this is work for 59 VMs four times a second: heartbeats came late, and the VMs read the store themselves. Changes: zone members are found by their hash; hub weights are kept; hubs and owners are pointers; an owner is looked for in its zone first, in the region only if it has none. A write may take 2 s (the store queues up to 1 s; a write that was given up is performed all the same and was written again: 468 of 1,028 failed writes); a failed registration comes again after a growing, random delay. Only owners of the own zone are connected to ahead of requests. Tests: vm_directory_test, 14 cases, unchanged and passing.

--- a/include/agatedale/vm_directory.h
+++ b/include/agatedale/vm_directory.h
@@ -10,6 +10,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace agatedale {
@@ -61,6 +62,9 @@
     return vm_directory(Self, Settings);
   }
 
+  vm_directory(vm_directory &&) = default;
+  vm_directory &operator=(vm_directory &&) = default;
+
   /// Replaces the list of VMs by the one in the store. Liveness is kept for VMs
   /// whose incarnation is unchanged.
   void setListed(std::span<const entry_vm> Vms, time_point Now);
@@ -122,6 +126,9 @@
 private:
   struct member {
     entry_vm Vm;
+    /// Rank as a hub: VMs with a larger capacity come first, because a hub
+    /// handles the heartbeats of its whole zone.
+    std::pair<double, std::uint64_t> HubWeight;
     time_point ListedAt{};
     time_point LastSeenAt{};
     time_point BackOffUntil{};
@@ -135,7 +142,11 @@
 
   bool isUsable(const member &Member, time_point Now) const;
   bool isHubCandidate(const member &Member, time_point Now) const;
-  std::vector<entry_vm> hubsOf(std::string_view Zone, time_point Now) const;
+  /// Returns the hubs of \p Zone; the pointers are valid until the next change.
+  std::vector<const entry_vm *> hubsOf(std::string_view Zone,
+                                       time_point Now) const;
+  const entry_vm *bestOwner(std::string_view Subject, std::string_view Region,
+                            std::string_view Zone, time_point Now) const;
   bool isHub(time_point Now) const;
   bool receivesFromMostOfZone(time_point Now) const;
   member *nextSilentHub(time_point Now);
@@ -143,6 +154,8 @@
   entry_vm Self;
   vm_directory_settings Settings;
   std::map<std::string, member> Members;
+  /// The members of the own zone by the hash of their name.
+  std::unordered_map<std::uint32_t, member *> ZoneMembers;
 };
 
 } // namespace agatedale
--- a/src/core/vm_directory.cpp
+++ b/src/core/vm_directory.cpp
@@ -17,8 +17,6 @@
 /// Subject whose rendezvous weights select the hubs of a zone.
 constexpr std::string_view HubSubject = "#hub";
 
-/// Ranks hub candidates. VMs with a larger capacity come first, because a hub
-/// handles the heartbeats of its whole zone.
 std::pair<double, std::uint64_t> hubWeight(const entry_vm &Vm) {
   return {Vm.Capacity, rendezvousWeight(Vm.Id.Name, HubSubject)};
 }
@@ -52,9 +50,15 @@
       continue;
     }
     Member.Vm = Vm;
+    Member.HubWeight = hubWeight(Vm);
     Member.ListedAt = Now;
   }
   Members = std::move(Next);
+  ZoneMembers.clear();
+  for (auto &[Name, Member] : Members) {
+    if (Member.Vm.Zone == Self.Zone)
+      ZoneMembers.emplace(nameHash(Name), &Member);
+  }
 }
 
 void vm_directory::recordHeartbeat(const std::string &Name, bool Ready,
@@ -129,30 +133,43 @@
   return Member.Vm.Ready && Now - Member.LastSeenAt < Settings.LivenessTimeout;
 }
 
-std::optional<entry_vm> vm_directory::ownerOf(std::string_view Subject,
-                                              std::string_view Zone,
-                                              std::string_view Region,
-                                              time_point Now) const {
-  std::optional<entry_vm> Best;
-  std::pair<bool, double> BestRank{false, 0};
+/// Returns the owner among the usable VMs of \p Region and, if it is not empty,
+/// of \p Zone.
+const entry_vm *vm_directory::bestOwner(std::string_view Subject,
+                                        std::string_view Region,
+                                        std::string_view Zone,
+                                        time_point Now) const {
+  const entry_vm *Best = nullptr;
+  double BestWeight = 0;
   const auto Consider = [&](const entry_vm &Vm) {
-    if (Vm.Region != Region)
+    const double Weight = ownerWeight(Vm, Subject);
+    if (Best && Weight <= BestWeight)
       return;
-    const std::pair Rank{Vm.Zone == Zone, ownerWeight(Vm, Subject)};
-    if (Best && Rank <= BestRank)
-      return;
-    BestRank = Rank;
-    Best = Vm;
+    BestWeight = Weight;
+    Best = &Vm;
+  };
+  const auto IsInPlace = [&](const entry_vm &Vm) {
+    return Vm.Region == Region && (Zone.empty() || Vm.Zone == Zone);
   };
-  if (Self.Ready && !Self.Leaving)
+  if (Self.Ready && !Self.Leaving && IsInPlace(Self))
     Consider(Self);
   for (const auto &[Name, Member] : Members) {
-    if (isUsable(Member, Now))
+    if (IsInPlace(Member.Vm) && isUsable(Member, Now))
       Consider(Member.Vm);
   }
   return Best;
 }
 
+std::optional<entry_vm> vm_directory::ownerOf(std::string_view Subject,
+                                              std::string_view Zone,
+                                              std::string_view Region,
+                                              time_point Now) const {
+  const entry_vm *Owner = bestOwner(Subject, Region, Zone, Now);
+  if (!Owner)
+    Owner = bestOwner(Subject, Region, {}, Now);
+  return Owner ? std::optional(*Owner) : std::nullopt;
+}
+
 bool vm_directory::isHubCandidate(const member &Member, time_point Now) const {
   if (Member.Vm.Leaving || Now < Member.BackOffUntil)
     return false;
@@ -160,45 +177,46 @@
   return Member.Vm.Zone != Self.Zone || Now - Since < Settings.LivenessTimeout;
 }
 
-std::vector<entry_vm> vm_directory::hubsOf(std::string_view Zone,
-                                           time_point Now) const {
-  std::vector<entry_vm> Hubs;
+std::vector<const entry_vm *> vm_directory::hubsOf(std::string_view Zone,
+                                                   time_point Now) const {
+  std::vector<std::pair<std::pair<double, std::uint64_t>, const entry_vm *>>
+      Ranked;
   if (Self.Zone == Zone && !Self.Leaving)
-    Hubs.push_back(Self);
+    Ranked.emplace_back(hubWeight(Self), &Self);
   for (const auto &[Name, Member] : Members) {
     if (Member.Vm.Zone == Zone && isHubCandidate(Member, Now))
-      Hubs.push_back(Member.Vm);
+      Ranked.emplace_back(Member.HubWeight, &Member.Vm);
   }
-  std::sort(Hubs.begin(), Hubs.end(),
-            [](const entry_vm &Left, const entry_vm &Right) {
-              return hubWeight(Left) > hubWeight(Right);
-            });
-  if (Hubs.size() > Settings.HubsPerZone)
-    Hubs.resize(Settings.HubsPerZone);
+  const auto Count = std::min(Ranked.size(), Settings.HubsPerZone);
+  std::partial_sort(Ranked.begin(),
+                    Ranked.begin() + static_cast<std::ptrdiff_t>(Count),
+                    Ranked.end(), std::greater<>());
+  std::vector<const entry_vm *> Hubs;
+  for (std::size_t I = 0; I < Count; ++I)
+    Hubs.push_back(Ranked[I].second);
   return Hubs;
 }
 
 bool vm_directory::isHub(time_point Now) const {
-  const std::vector<entry_vm> Hubs = hubsOf(Self.Zone, Now);
-  return std::any_of(Hubs.begin(), Hubs.end(), [this](const entry_vm &Vm) {
-    return Vm.Id.Name == Self.Id.Name;
-  });
+  const std::vector<const entry_vm *> Hubs = hubsOf(Self.Zone, Now);
+  return std::find(Hubs.begin(), Hubs.end(), &Self) != Hubs.end();
 }
 
 vm_directory::member *vm_directory::nextSilentHub(time_point Now) {
-  const std::vector<entry_vm> Hubs = hubsOf(Self.Zone, Now);
+  const std::vector<const entry_vm *> Hubs = hubsOf(Self.Zone, Now);
   const bool HasAll = Hubs.size() == Settings.HubsPerZone;
+  const auto LastHubWeight =
+      Hubs.empty() ? hubWeight(Self) : hubWeight(*Hubs.back());
   member *Next = nullptr;
   for (auto &[Name, Member] : Members) {
     const bool IsSilent = Member.Vm.Zone == Self.Zone && !Member.Vm.Leaving &&
                           !isHubCandidate(Member, Now);
-    const bool WouldBeHub =
-        !HasAll || hubWeight(Member.Vm) > hubWeight(Hubs.back());
+    const bool WouldBeHub = !HasAll || Member.HubWeight > LastHubWeight;
     if (!IsSilent || !WouldBeHub)
       continue;
     const bool IsEarlier =
-        !Next || std::pair(Next->ProbedAt, hubWeight(Member.Vm)) >
-                     std::pair(Member.ProbedAt, hubWeight(Next->Vm));
+        !Next || std::pair(Next->ProbedAt, Member.HubWeight) >
+                     std::pair(Member.ProbedAt, Next->HubWeight);
     if (IsEarlier)
       Next = &Member;
   }
@@ -215,9 +233,9 @@
   }
   std::vector<entry_vm> Peers;
   for (const std::string &Zone : Zones) {
-    for (const entry_vm &Hub : hubsOf(Zone, Now)) {
-      if (Hub.Id.Name != Self.Id.Name)
-        Peers.push_back(Hub);
+    for (const entry_vm *Hub : hubsOf(Zone, Now)) {
+      if (Hub != &Self)
+        Peers.push_back(*Hub);
     }
   }
   if (member *Silent = nextSilentHub(Now)) {
@@ -228,26 +246,23 @@
 }
 
 void vm_directory::mergeZoneMember(const zone_member &ZoneMember) {
-  for (auto &[Name, Member] : Members) {
-    const bool IsSameVm =
-        Member.Vm.Zone == Self.Zone && nameHash(Name) == ZoneMember.NameHash;
-    if (!IsSameVm || ZoneMember.LastSeenAt <= Member.LastSeenAt)
-      continue;
-    Member.LastSeenAt = ZoneMember.LastSeenAt;
-    Member.Vm.Ready = ZoneMember.Ready;
-    Member.Vm.Leaving = ZoneMember.Leaving;
-  }
+  const auto Found = ZoneMembers.find(ZoneMember.NameHash);
+  if (Found == ZoneMembers.end())
+    return;
+  member &Member = *Found->second;
+  if (ZoneMember.LastSeenAt <= Member.LastSeenAt)
+    return;
+  Member.LastSeenAt = ZoneMember.LastSeenAt;
+  Member.Vm.Ready = ZoneMember.Ready;
+  Member.Vm.Leaving = ZoneMember.Leaving;
 }
 
 std::vector<zone_member> vm_directory::zoneMembers(time_point Now) const {
   std::vector<zone_member> Statuses;
-  for (const auto &[Name, Member] : Members) {
-    const bool WasSeenRecently =
-        Member.Vm.Zone == Self.Zone &&
-        Now - Member.LastSeenAt < 2 * Settings.LivenessTimeout;
-    if (WasSeenRecently)
-      Statuses.push_back({nameHash(Name), Member.LastSeenAt, Member.Vm.Ready,
-                          Member.Vm.Leaving});
+  for (const auto &[NameHash, Member] : ZoneMembers) {
+    if (Now - Member->LastSeenAt < 2 * Settings.LivenessTimeout)
+      Statuses.push_back(
+          {NameHash, Member->LastSeenAt, Member->Vm.Ready, Member->Vm.Leaving});
   }
   return Statuses;
 }
@@ -261,7 +276,7 @@
     const bool MayRead = Member.Vm.Region == Self.Region &&
                          Now - Member.LastSeenAt < Settings.LivenessTimeout &&
                          !Member.Vm.Leaving && !Member.ReadsFail;
-    if (!MayRead || hubWeight(Member.Vm) <= Own)
+    if (!MayRead || Member.HubWeight <= Own)
       continue;
     // Only hubs of other zones exchange heartbeats with this VM.
     Preceding +=
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -18,6 +18,7 @@
 
 #include <chrono>
 #include <map>
+#include <random>
 
 namespace agatedale {
 
@@ -41,8 +42,11 @@
 /// when a fleet starts.
 constexpr duration MinHeartbeatGap = std::chrono::milliseconds(50);
 
-/// Delay before this VM's row is written again after a failed write.
-constexpr duration RegisterRetryDelay = std::chrono::milliseconds(500);
+/// Bounds of the delay before this VM's row is written again after a failed
+/// write. It doubles with each failure and is drawn at random, because all VMs
+/// of a fleet may register in the same moment.
+constexpr duration MinRegisterDelay = std::chrono::milliseconds(500);
+constexpr duration MaxRegisterDelay = std::chrono::milliseconds(2000);
 
 /// Interval at which VMs that have stopped sending heartbeats are removed.
 constexpr duration CleanupInterval = std::chrono::seconds(1);
@@ -84,7 +88,8 @@
 class gateway_node::impl {
 public:
   explicit impl(const gateway_settings &Settings)
-      : Settings(Settings), Vms(vm_directory::create(makeSelf(Settings), {})) {}
+      : Settings(Settings), Vms(vm_directory::create(makeSelf(Settings), {})),
+        Random(stableHash(Settings.Vm)) {}
 
   /// Stops everything that posts to the event loop before the loop is
   /// destroyed.
@@ -119,6 +124,7 @@
   void onVmListChanged();
   void onSnapshotChanged();
   void registerSelf();
+  void retryRegisterSelf();
   void updateReady();
   bool isReady() const;
   void checkDrained(time_point Since);
@@ -141,6 +147,8 @@
   time_point LastHeartbeatsAt{};
   bool HeartbeatsScheduled = false;
   bool Registering = false;
+  duration RegisterDelay = MinRegisterDelay;
+  std::mt19937_64 Random;
   bool Registered = false;
   bool Stopping = false;
   /// While set, calls from peers are answered but no call is made.
@@ -408,20 +416,33 @@
                   Registering = false;
                   Registered = true;
                   const error *Error = errorOf(Done);
-                  if (!Error)
+                  if (!Error) {
+                    RegisterDelay = MinRegisterDelay;
                     return;
+                  }
                   logLine(log_level::Warning, "store-write-failed",
                           {{"row", Settings.Vm}, {"why", Error->Message}});
-                  Loop->after(RegisterRetryDelay, [this] { registerSelf(); });
+                  retryRegisterSelf();
                 });
 }
 
+void gateway_node::impl::retryRegisterSelf() {
+  std::uniform_real_distribution<double> Share(0.5, 1);
+  const duration Delay =
+      std::chrono::duration_cast<duration>(RegisterDelay * Share(Random));
+  RegisterDelay = std::min(2 * RegisterDelay, MaxRegisterDelay);
+  Loop->after(Delay, [this] { registerSelf(); });
+}
+
 void gateway_node::impl::connectToOwners() {
   const auto Snapshot = FleetState->view();
   if (!Snapshot)
     return;
   const time_point Now = bootNow();
   for (const server_group_spec &Spec : Snapshot->Config->groups()) {
+    // Groups of other zones are connected to when a request needs them.
+    if (Spec.Id.Zone != Settings.Zone)
+      continue;
     const auto Owner =
         Vms.ownerOf(toText(Spec.Id), Spec.Id.Zone,
                     Snapshot->Config->regionOf(Spec.Id.Zone), Now);
--- a/src/gateway/store_worker.cpp
+++ b/src/gateway/store_worker.cpp
@@ -6,9 +6,13 @@
 
 namespace {
 
-/// Bounds a call beyond its long-poll wait. The store answers within 5 ms, a
+/// Bounds a read beyond its long-poll wait. The store answers within 5 ms, a
 /// slow store within about 300 ms.
-constexpr std::chrono::milliseconds CallTimeout{800};
+constexpr std::chrono::milliseconds ReadTimeout{800};
+
+/// Bounds a write. The store queues writes for up to a second, and a write that
+/// is given up is performed all the same.
+constexpr std::chrono::milliseconds WriteTimeout{2000};
 
 } // namespace
 
@@ -57,10 +61,10 @@
 
 result<std::unique_ptr<store_worker>>
 store_worker::start(event_loop &Loop, const std::string &Address) {
-  auto Reader = platform::store_client::create(Address, CallTimeout, bootNow);
+  auto Reader = platform::store_client::create(Address, ReadTimeout, bootNow);
   if (const error *Error = errorOf(Reader))
     return *Error;
-  auto Writer = platform::store_client::create(Address, CallTimeout, bootNow);
+  auto Writer = platform::store_client::create(Address, WriteTimeout, bootNow);
   if (const error *Error = errorOf(Writer))
     return *Error;
   return std::unique_ptr<store_worker>(new store_worker(
