Unused retries of a service are bounded by the operators' figure, not by the groups

Cause: each group starts with ten retries and may save ten, whatever its size: with groups by zone and service the sum grows with their number. Change: the operators' slack (retry_burst) is shared by the groups of a service by their servers; half of it is left to groups whose owner changes.

--- a/include/agatedale/gateway_settings.h
+++ b/include/agatedale/gateway_settings.h
@@ -36,6 +36,7 @@
   /// Maximum total bytes of buffered request bodies.
   std::size_t BodyBytes = 32 << 20;
   double RetryPercent = 10; ///< Retries allowed per hundred requests.
+  double RetryBurst = 50;   ///< Unused retries of a service, in the fleet.
   log_level Level = log_level::Info;
 
   /// Reads and validates \p File. Errors contain file, line and key.
--- a/include/agatedale/retry_budget.h
+++ b/include/agatedale/retry_budget.h
@@ -18,6 +18,12 @@
   /// \p Percent is the number of retries allowed per hundred requests.
   static retry_budget create(double Percent) { return retry_budget(Percent); }
 
+  /// Sets the number of retries that can accumulate unused.
+  void setBurst(double NewMaxTokens) {
+    MaxTokens = NewMaxTokens;
+    Tokens = std::min(Tokens, MaxTokens);
+  }
+
   /// Adds the share of one new request.
   void deposit() { Tokens = std::min(Tokens + Share, MaxTokens); }
 
@@ -30,13 +36,13 @@
   }
 
 private:
-  /// Maximum number of retries that accumulate unused.
-  static constexpr double MaxTokens = 10;
+  static constexpr double DefaultMaxTokens = 10;
 
   explicit retry_budget(double Percent) : Share(Percent / 100) {}
 
   double Share;
-  double Tokens = MaxTokens;
+  double MaxTokens = DefaultMaxTokens;
+  double Tokens = DefaultMaxTokens;
 };
 
 } // namespace agatedale
--- a/include/agatedale/server_group.h
+++ b/include/agatedale/server_group.h
@@ -172,6 +172,9 @@
   /// Applies a changed service configuration.
   void reconfigure(const service &Service);
 
+  /// Sets the number of retries that can accumulate unused in this group.
+  void setRetryBurst(double Retries) { Budget.setBurst(Retries); }
+
   /// Applies a changed list of servers. Added servers start cold. Removed and
   /// leaving servers finish their attempts in flight and get no new ones.
   std::vector<group_action> setServers(std::span<const backend_server> Servers,
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -60,6 +60,7 @@
       Reader.number("memory_mb", DefaultMemoryMb, 16, 1 << 20));
   Settings.RetryPercent =
       Percent * OwnerRetryShare * Reader.number("retry_ratio", 0.2, 0, 10);
+  Settings.RetryBurst = Reader.number("retry_burst", 50, 0, 1e6);
   Settings.Level = parseLogLevel(Reader.choice(
       "log_level", "info", {"debug", "info", "warning", "error"}));
   if (const toml::table *Zones = Reader.table("zones")) {
--- a/src/gateway/group_host.cpp
+++ b/src/gateway/group_host.cpp
@@ -4,6 +4,8 @@
 
 #include "../core/log.h"
 
+#include <algorithm>
+
 namespace agatedale {
 
 namespace {
@@ -19,6 +21,24 @@
   return Group;
 }
 
+/// Returns the share of a group in the unused retries that the operators allow
+/// for its service: by its servers, so that it does not depend on the number of
+/// groups. Half is left to groups whose owner changes, because the next owner
+/// begins with the whole share again.
+double retryBurstOf(const server_group_spec &Spec, const configuration &Config,
+                    double ServiceBurst) {
+  constexpr double OwnerShare = 0.5;
+  const auto Servers =
+      std::count_if(Config.servers().begin(), Config.servers().end(),
+                    [&Spec](const backend_server &Server) {
+                      return Server.Service == Spec.Id.Service;
+                    });
+  const double Share =
+      static_cast<double>(Spec.Servers.size()) /
+      static_cast<double>(std::max<std::ptrdiff_t>(Servers, 1));
+  return std::max(1.0, OwnerShare * ServiceBurst * Share);
+}
+
 } // namespace
 
 group_host::hosted_group *group_host::findOrCreate(const group_id &Id) {
@@ -51,6 +71,9 @@
   if (Service != Config.services().end())
     Hosted.Group.reconfigure(Service->second);
   const server_group_spec *Spec = Config.findGroup(Id);
+  if (Spec)
+    Hosted.Group.setRetryBurst(
+        retryBurstOf(*Spec, Config, Settings.RetryBurst));
   const std::vector<backend_server> NoServers;
   executeActions(Id, Hosted.Group.setServers(Spec ? Spec->Servers : NoServers,
                                              Config.isZoneActive(Id.Zone),
