--- a/include/agatedale/store_follower.h
+++ b/include/agatedale/store_follower.h
@@ -24,7 +24,7 @@
   int MaxRank = 4;
   /// A starting VM waits this long for a hub's first snapshot before it reads
   /// the store itself.
-  duration InitialSnapshotTimeout = std::chrono::milliseconds(700);
+  duration InitialSnapshotTimeout = std::chrono::milliseconds(2500);
   /// Pause after a failed read; doubles with each failure up to MaxBackoff.
   duration InitialBackoff = std::chrono::milliseconds(150);
   duration MaxBackoff = std::chrono::milliseconds(600);
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -63,8 +63,10 @@
   const bool Receiving = Decoder && Decoder->hasStarted();
   if (!Receiving && !Pending.empty())
     return;
-  const auto Limit =
-      Receiving ? Context->Limits.HeaderTimeout : Context->Limits.IdleTimeout;
+  const bool ReceivesHeaders = Receiving && !Decoder->isHeaderComplete();
+  const auto Limit = ReceivesHeaders ? Context->Limits.HeaderTimeout
+                                     : Context->Limits.IdleTimeout;
+  BodyBytesAtArm = Receiving ? Decoder->bodyBytes() : 0;
   const std::weak_ptr<caller_connection> Weak = weak_from_this();
   Timer = Loop.after(Limit, [Weak] {
     if (const auto Self = Weak.lock())
@@ -78,8 +80,10 @@
     closeIfIdle();
     return;
   }
-  // The timeout applies to the headers only; a body may take longer.
-  if (Decoder->isHeaderComplete())
+  // A body may take any time while its bytes arrive.
+  const bool BodyAdvances =
+      Decoder->isHeaderComplete() && Decoder->bodyBytes() > BodyBytesAtArm;
+  if (BodyAdvances)
     armTimer();
   else
     fail(StatusTimeout);
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -101,6 +101,7 @@
   bool ReadingDone = false;
   bool ClosingGracefully = false;
   event_loop::timer_id Timer = 0;
+  std::size_t BodyBytesAtArm = 0; ///< Received when the timer was armed.
 };
 
 } // namespace agatedale
--- a/src/gateway/event_loop.cpp
+++ b/src/gateway/event_loop.cpp
@@ -2,6 +2,8 @@
 /// Event loop based on PollSet, with timers and posted tasks.
 #include "event_loop.h"
 
+#include "../core/log.h"
+
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/Net/StreamSocketImpl.h>
 #include <fmt/format.h>
@@ -100,6 +102,16 @@
       ::read(WakeUpDescriptor, &Count, sizeof(Count));
 }
 
+/// Runs \p Task. An exception ends this task only: the requests of all others
+/// would be lost with the process.
+template <typename Task> void event_loop::runGuarded(const Task &Run) {
+  try {
+    Run();
+  } catch (const std::exception &Failure) {
+    logLine(log_level::Error, "task-failed", {{"why", Failure.what()}});
+  }
+}
+
 void event_loop::runPosted() {
   std::vector<task> Tasks;
   {
@@ -107,7 +119,7 @@
     Tasks.swap(Posted);
   }
   for (const task &Task : Tasks)
-    Task();
+    runGuarded(Task);
 }
 
 void event_loop::runTimers() {
@@ -116,7 +128,7 @@
     const task Task = std::move(Timers.begin()->second);
     TimerDeadlines.erase(Timers.begin()->first.second);
     Timers.erase(Timers.begin());
-    Task();
+    runGuarded(Task);
   }
 }
 
@@ -141,7 +153,7 @@
         continue;
       // The handler may unwatch its own socket while it runs.
       const std::shared_ptr<socket_handler> Handler = Found->second;
-      (*Handler)(Modes);
+      runGuarded([&Handler, Ready = Modes] { (*Handler)(Ready); });
     }
     runPosted();
     runTimers();
--- a/src/gateway/event_loop.h
+++ b/src/gateway/event_loop.h
@@ -54,6 +54,7 @@
 private:
   event_loop() = default;
 
+  template <typename Task> static void runGuarded(const Task &Run);
   void runPosted();
   void runTimers();
   Poco::Timespan untilNextTimer() const;
--- a/src/gateway/group_host.h
+++ b/src/gateway/group_host.h
@@ -21,7 +21,7 @@
 class group_host {
 public:
   group_host(event_loop &Loop, const gateway_settings &Settings)
-      : Loop(Loop), Settings(Settings), Pool(Loop) {}
+      : Loop(Loop), Settings(Settings), Pool(Loop, Settings.BodyBytes) {}
 
   /// Applies the services and servers of a newer snapshot to all groups.
   void setSnapshot(std::shared_ptr<const fleet_snapshot> NewSnapshot);
--- a/src/gateway/http_codec.cpp
+++ b/src/gateway/http_codec.cpp
@@ -24,6 +24,9 @@
 constexpr int StatusHeadersTooLarge = 431;
 constexpr unsigned FirstFinalStatus = 200;
 
+/// Maximum number of interim responses (1xx) before a final one.
+constexpr int MaxInterimResponses = 16;
+
 constexpr std::array<std::string_view, 9> ConnectionHeaders{
     "Connection",        "Keep-Alive", "Proxy-Connection", "TE",    "Trailer",
     "Transfer-Encoding", "Upgrade",    "Content-Length",   "Expect"};
@@ -99,6 +102,7 @@
 
 struct request_decoder::parser {
   http::request_parser<http::string_body> Parse;
+  std::size_t MaxUnparsedBytes = 0;
 };
 
 request_decoder::request_decoder(const message_limits &Limits)
@@ -106,6 +110,7 @@
   Parser->Parse.eager(true);
   Parser->Parse.header_limit(Limits.HeaderBytes);
   Parser->Parse.body_limit(Limits.BodyBytes);
+  Parser->MaxUnparsedBytes = Limits.HeaderBytes;
 }
 
 request_decoder::~request_decoder() = default;
@@ -120,6 +125,11 @@
                                                          : StatusBadRequest;
     return State;
   }
+  if (State == decode_state::NeedMore &&
+      Buffer.size() > Parser->MaxUnparsedBytes) {
+    FailureStatus = StatusHeadersTooLarge;
+    return decode_state::Failed;
+  }
   if (State == decode_state::Complete && isAmbiguous(Parser->Parse.get())) {
     FailureStatus = StatusBadRequest;
     return decode_state::Failed;
@@ -178,10 +188,15 @@
     boost::system::error_code Failure;
     const decode_state State =
         feedParser(Parser->Parse, Buffer, AnyBytesFed, Failure);
+    // The parser keeps chunk extensions and trailers unread until they end.
+    if (State == decode_state::NeedMore && Buffer.size() > Limits.HeaderBytes)
+      return decode_state::Failed;
     const bool IsInterim = State == decode_state::Complete &&
                            Parser->Parse.get().result_int() < FirstFinalStatus;
     if (!IsInterim)
       return State;
+    if (++InterimResponses > MaxInterimResponses)
+      return decode_state::Failed;
     restart();
     if (Buffer.empty())
       return decode_state::NeedMore;
@@ -206,6 +221,10 @@
   return Message;
 }
 
+std::size_t response_decoder::bodyBytes() const {
+  return Parser->Parse.get().body().size();
+}
+
 bool response_decoder::keepsAlive() const { return Parser->Parse.keep_alive(); }
 
 std::optional<std::chrono::seconds> response_decoder::idleTimeout() const {
--- a/src/gateway/http_codec.h
+++ b/src/gateway/http_codec.h
@@ -75,6 +75,9 @@
 
   http_response_message takeMessage();
   bool hasStarted() const { return AnyBytesFed; }
+
+  /// Returns the number of body bytes received so far.
+  std::size_t bodyBytes() const;
   bool keepsAlive() const;
 
   /// Returns the timeout of the Keep-Alive header, if there is one.
@@ -88,6 +91,7 @@
   message_limits Limits;
   bool IsHeadRequest;
   bool AnyBytesFed = false;
+  int InterimResponses = 0;
 };
 
 /// Encodes a request. \p Host is sent in the Host header unless the request has
--- a/src/gateway/server_pool.cpp
+++ b/src/gateway/server_pool.cpp
@@ -2,6 +2,7 @@
 /// Connections to backend servers with one request at a time on each.
 #include "server_pool.h"
 
+#include "../core/log.h"
 #include "platform/headers.h"
 
 #include <Poco/Exception.h>
@@ -18,6 +19,9 @@
 /// The largest response that is accepted from a server.
 constexpr message_limits ResponseLimits{64 * 1024, 32 << 20};
 
+/// Maximum number of answers to other requests before the connection is closed.
+constexpr int MaxMismatchedAnswers = 4;
+
 /// Time after the deadline in which a server may still report that it missed
 /// the deadline.
 constexpr duration ResponseGrace = std::chrono::milliseconds(150);
@@ -60,6 +64,8 @@
   void onTimeout();
   void onConnectTimeout();
   void failCall(attempt_outcome Outcome);
+  bool isTooLarge();
+  void onMismatchedAnswer();
   void onResponse();
   void finishCall(call_result Result);
 
@@ -72,6 +78,8 @@
   /// Set after a response that does not match the request, or a failed call.
   bool Tainted = false;
   bool NotReusable = false;
+  int MismatchedAnswers = 0;
+  body_reservation Share; ///< Of the body that is being received.
   std::uint64_t BytesSentBefore = 0;
   duration IdleTime = DefaultIdleTime;
   time_point IdleUntil{};
@@ -126,6 +134,7 @@
   Call = Next;
   Decoder =
       std::make_unique<response_decoder>(ResponseLimits, Call->IsHeadRequest);
+  Share = body_reservation(Pool.Bodies);
   BytesSentBefore = Stream->bytesSent();
   const std::weak_ptr<server_connection> Weak = weak_from_this();
   Call->Timer =
@@ -158,7 +167,7 @@
   Buffer.append(Bytes);
   while (Call) {
     const decode_state State = Decoder->feed(Buffer);
-    if (State == decode_state::Failed) {
+    if (State == decode_state::Failed || isTooLarge()) {
       failCall(attempt_outcome::ConnectionLost);
       return;
     }
@@ -170,6 +179,30 @@
   }
 }
 
+/// Returns true if the bodies that servers send exceed the memory for them.
+bool server_connection::isTooLarge() {
+  if (Share.resize(Decoder->bodyBytes()))
+    return false;
+  logLine(log_level::Warning, "response-dropped",
+          {{"server", Call->Order.Server},
+           {"request", Call->RequestId},
+           {"body_bytes", Decoder->bodyBytes()},
+           {"bodies_held", Pool.Bodies->reservedBytes()}});
+  return true;
+}
+
+/// The response to this request may still follow. The connection is not reused
+/// for another request.
+void server_connection::onMismatchedAnswer() {
+  Tainted = true;
+  if (++MismatchedAnswers > MaxMismatchedAnswers) {
+    failCall(attempt_outcome::ConnectionLost);
+    return;
+  }
+  Decoder =
+      std::make_unique<response_decoder>(ResponseLimits, Call->IsHeadRequest);
+}
+
 void server_connection::onResponse() {
   NotReusable = !Decoder->keepsAlive();
   if (const auto AnnouncedTimeout = Decoder->idleTimeout())
@@ -179,6 +212,11 @@
   Result.Response = Decoder->takeMessage();
   Result.Report = platform::readReport(Result.Response);
   if (Call->IsLoadProbe) {
+    // The late second copy of an answer to an earlier request.
+    if (platform::belongsToRequest(Result.Response)) {
+      onMismatchedAnswer();
+      return;
+    }
     Result.Outcome = Result.Response.Status == HealthyStatus
                          ? attempt_outcome::Answered
                          : attempt_outcome::ErrorAnswer;
@@ -187,11 +225,7 @@
   }
   switch (platform::classifyAnswer(Result.Response, Call->RequestId)) {
   case platform::answer_kind::MismatchedRequest:
-    // The response to this request may still follow. The connection is not
-    // reused for another request.
-    Tainted = true;
-    Decoder =
-        std::make_unique<response_decoder>(ResponseLimits, Call->IsHeadRequest);
+    onMismatchedAnswer();
     return;
   case platform::answer_kind::Success:
     Result.Outcome = attempt_outcome::Answered;
@@ -222,6 +256,7 @@
   const bool MayReuse = !Tainted && !NotReusable && Buffer.empty() &&
                         !Stream->hasUnsent() && !Stream->isClosed();
   Decoder.reset();
+  Share = body_reservation();
   if (MayReuse && Result.Outcome != attempt_outcome::WrongServer)
     Pool.releaseIdle(Self);
   else
--- a/src/gateway/server_pool.h
+++ b/src/gateway/server_pool.h
@@ -2,6 +2,7 @@
 /// Connection pool for backend servers.
 #pragma once
 
+#include "agatedale/body_budget.h"
 #include "agatedale/server_group.h"
 #include "forward.h"
 #include "http_codec.h"
@@ -55,7 +56,10 @@
 ///   auto Call = Pool.send(Order, Request, Done);
 class server_pool {
 public:
-  explicit server_pool(event_loop &Loop) : Loop(Loop) {}
+  /// The bodies of all responses that are being received take at most
+  /// \p BodyBytes together.
+  server_pool(event_loop &Loop, std::size_t BodyBytes)
+      : Loop(Loop), Bodies(std::make_shared<body_budget>(BodyBytes)) {}
 
   std::shared_ptr<server_call> send(const send_action &Order,
                                     const forward_request &Request,
@@ -76,6 +80,7 @@
   void removeIdle(const server_connection *Connection);
 
   event_loop &Loop;
+  std::shared_ptr<body_budget> Bodies;
   std::map<std::string, std::vector<std::shared_ptr<server_connection>>> Idle;
   std::uint64_t ConnectionsOpened = 0;
 };
--- a/src/gateway/tcp_stream.cpp
+++ b/src/gateway/tcp_stream.cpp
@@ -2,6 +2,8 @@
 /// Non-blocking reads and writes.
 #include "tcp_stream.h"
 
+#include "../core/log.h"
+
 #include <Poco/Net/NetException.h>
 
 #include <netinet/tcp.h>
@@ -76,8 +78,16 @@
           (Connected ? 0 : PollSet::POLL_WRITE);
   const std::weak_ptr<tcp_stream> Weak = weak_from_this();
   Loop.watch(Socket, Modes, [Weak](int Ready) {
-    if (const std::shared_ptr<tcp_stream> Stream = Weak.lock())
+    const std::shared_ptr<tcp_stream> Stream = Weak.lock();
+    if (!Stream)
+      return;
+    try {
       Stream->onReady(Ready);
+    } catch (const std::exception &Failure) {
+      // Its state is not known any more, so that only this connection ends.
+      logLine(log_level::Error, "connection-failed", {{"why", Failure.what()}});
+      Stream->end(stream_end::Reset);
+    }
   });
 }
 
