--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -14,9 +14,8 @@
 constexpr double MillisPerSecond = 1000;
 
 /// Share of the configured retry ratio that group owners use without
-/// coordination. The remainder covers ownership changes: a new owner starts
-/// with a non-empty retry budget.
-constexpr double OwnerRetryShare = 0.75;
+/// coordination. The remainder covers ownership changes.
+constexpr double OwnerRetryShare = 0.9;
 constexpr double Percent = 100;
 
 /// Share of the memory for request bodies. Half of the memory is reserved for
