--- a/include/agatedale/snapshot_limiter.h
+++ b/include/agatedale/snapshot_limiter.h
@@ -27,6 +27,11 @@
   /// A snapshot that has not arrived after this time counts as lost.
   static constexpr duration DeliveryTimeout = std::chrono::seconds(1);
 
+  /// Returns the time in which a hub sends its snapshot to \p Vms VMs.
+  static constexpr duration timeFor(std::size_t Vms) {
+    return Interval * static_cast<int>(Vms / MaxPerInterval);
+  }
+
   /// Returns true, and records the send, if a snapshot may be sent to \p Peer
   /// now.
   bool tryAcquire(const std::string &Peer, time_point Now) {
--- a/include/agatedale/store_follower.h
+++ b/include/agatedale/store_follower.h
@@ -24,7 +24,7 @@
   int MaxRank = 4;
   /// A starting VM waits this long for a hub's first snapshot before it reads
   /// the store itself.
-  duration InitialSnapshotTimeout = std::chrono::milliseconds(2500);
+  duration InitialSnapshotTimeout = std::chrono::milliseconds(700);
   /// Pause after a failed read; doubles with each failure up to MaxBackoff.
   duration InitialBackoff = std::chrono::milliseconds(150);
   duration MaxBackoff = std::chrono::milliseconds(600);
@@ -51,9 +51,11 @@
       : Settings(Settings) {}
 
   /// Returns the read that is due at \p Now, if any. \p Rank is 0 for the
-  /// region's reader.
+  /// region's reader. \p SnapshotTime is the time that the hubs need to send
+  /// their snapshot to all VMs of the zone.
   std::optional<store_read> next(const store_mirror &Mirror, int Rank,
-                                 time_point Now);
+                                 time_point Now,
+                                 duration SnapshotTime = duration::zero());
 
   /// Records a successful answer, an answer that the requested history has been
   /// truncated, or a failed read.
--- a/include/agatedale/vm_directory.h
+++ b/include/agatedale/vm_directory.h
@@ -95,6 +95,9 @@
   void setSelf(bool Ready, bool Leaving);
   const entry_vm &self() const { return Self; }
 
+  /// Returns the number of listed VMs of the own zone, with this one.
+  std::size_t zoneSize() const { return ZoneMembers.size() + 1; }
+
   /// Returns all listed VMs but this one, those of the own region first.
   std::vector<entry_vm> otherVms() const;
 
--- a/src/core/store_follower.cpp
+++ b/src/core/store_follower.cpp
@@ -7,7 +7,8 @@
 namespace agatedale {
 
 std::optional<store_read> store_follower::next(const store_mirror &Mirror,
-                                               int Rank, time_point Now) {
+                                               int Rank, time_point Now,
+                                               duration SnapshotTime) {
   if (Now < BackoffUntil)
     return std::nullopt;
   FirstPollAt = FirstPollAt.value_or(Now);
@@ -15,7 +16,8 @@
   if (Mirror.position(store_table::Vms) == 0)
     return store_read{store_table::Vms, true, 0, {}};
   const bool AwaitsInitialSnapshot =
-      Rank > 0 && Now - *FirstPollAt < Settings.InitialSnapshotTimeout;
+      Rank > 0 &&
+      Now - *FirstPollAt < Settings.InitialSnapshotTimeout + SnapshotTime;
   std::uint64_t Newest = 0;
   for (const store_table Table : AllStoreTables) {
     const bool NeverRead = Mirror.position(Table) == 0;
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -4,6 +4,7 @@
 
 #include "../core/log.h"
 #include "agatedale/server_partition.h"
+#include "agatedale/snapshot_limiter.h"
 #include "platform/decode.h"
 #include "platform/names.h"
 
@@ -51,7 +52,8 @@
   if (Reading)
     return;
   const int Rank = Vms.readerRank(readsFail(), Now);
-  const auto Read = Follower.next(Mirror, Rank, Now);
+  const auto Read = Follower.next(Mirror, Rank, Now,
+                                  snapshot_limiter::timeFor(Vms.zoneSize()));
   if (!Read)
     return;
   Reading = true;
--- a/tests/unit/store_following_test.cpp
+++ b/tests/unit/store_following_test.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Tests of store_mirror, store_follower and outage_grace_period.
 #include "agatedale/outage_grace_period.h"
+#include "agatedale/snapshot_limiter.h"
 #include "agatedale/store_follower.h"
 #include "agatedale/store_mirror.h"
 
@@ -148,6 +149,18 @@
   BOOST_TEST(Follower.next(Mirror, 2, Start + seconds(1)).has_value());
 }
 
+// 59 VMs of a zone start at once; a hub sends its snapshot to a few at a time.
+BOOST_AUTO_TEST_CASE(VmOfALargeZoneWaitsUntilTheHubsHaveServedAll) {
+  store_mirror Mirror;
+  Mirror.apply(snapshotOf(store_table::Vms, 10, {}));
+  store_follower Follower({});
+  const duration All = snapshot_limiter::timeFor(59);
+  BOOST_TEST(!Follower.next(Mirror, 2, Start, All).has_value());
+  BOOST_TEST(!Follower.next(Mirror, 2, Start + All, All).has_value());
+  BOOST_TEST(
+      Follower.next(Mirror, 2, Start + All + seconds(1), All).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(LongOutageStartsAGracePeriod) {
   outage_grace_period GracePeriod;
   GracePeriod.recordStoreTime(Start, Start);
