--- a/src/gateway/peer_transport.cpp
+++ b/src/gateway/peer_transport.cpp
@@ -170,7 +170,7 @@
 peer_transport::outgoing_call_ptr
 peer_transport::startCall(const entry_vm &Vm, peer_message_kind Kind,
                           std::string Message, duration Timeout) {
-  const auto Call = std::make_shared<outgoing_call>();
+  auto Call = std::make_shared<outgoing_call>();
   Call->Number = ++LastCall;
   Call->Peer = Vm.Id.Name;
   Call->Kind = Kind;
@@ -454,7 +454,8 @@
   const auto Answered = std::make_shared<bool>(false);
   const std::weak_ptr<incoming_peer> WeakFrom = From;
   const forward_ticket Ticket = Handlers.OnForward(
-      Request, [WeakFrom, Call, Answered](wire_gateway::Forwarded Reply) {
+      Request,
+      [WeakFrom, Call, Answered](const wire_gateway::Forwarded &Reply) {
         *Answered = true;
         const auto Sender = WeakFrom.lock();
         if (!Sender)
