--- a/include/agatedale/agatedale.h
+++ b/include/agatedale/agatedale.h
@@ -28,6 +28,7 @@
 #include "agatedale/retry_budget.h"
 #include "agatedale/roster.h"
 #include "agatedale/server_group.h"
+#include "agatedale/server_partition.h"
 #include "agatedale/settings.h"
 #include "agatedale/slot_limit.h"
 #include "agatedale/snapshot_limiter.h"
