Tests say what unanswered requests were told

Change: background_load keeps a line for each request that was not answered; the checks print it when they fail. The bounds are the same.

--- a/tests/failures/ownership_failures.cpp
+++ b/tests/failures/ownership_failures.cpp
@@ -25,6 +25,13 @@
                  << Fleet.backendSum("beyond_slots"));
 }
 
+void checkAllAnswered(background_load &Load) {
+  BOOST_TEST_INFO(Load.unansweredRequests());
+  BOOST_TEST(Load.statusChecks().NotRun + Load.statusChecks().MayHaveRun == 0);
+  BOOST_TEST_INFO(Load.unansweredRequests());
+  BOOST_TEST(Load.orders().NotRun + Load.orders().MayHaveRun == 0);
+}
+
 /// Kills an owner 8 s into an outage of the store that begins now, and checks
 /// that another VM serves in its place.
 void checkOwnerIsReplacedInsideAnOutage(process_fleet &Fleet) {
@@ -104,11 +111,7 @@
   BOOST_TEST(Fleet.waitEnd(Owner, milliseconds(20'000)) == 0);
   std::this_thread::sleep_for(milliseconds(1000));
   Load.stop();
-  BOOST_TEST(Load.statusChecks().NotRun + Load.statusChecks().MayHaveRun == 0);
-  BOOST_TEST(Load.orders().NotRun + Load.orders().MayHaveRun == 0,
-             "expected every order answered, got "
-                 << Load.orders().NotRun << " not run and "
-                 << Load.orders().MayHaveRun << " may have run");
+  checkAllAnswered(Load);
   checkNothingWrong(Fleet, Load);
 }
 
@@ -126,8 +129,7 @@
   }
   std::this_thread::sleep_for(milliseconds(3000));
   Load.stop();
-  BOOST_TEST(Load.statusChecks().NotRun + Load.statusChecks().MayHaveRun == 0);
-  BOOST_TEST(Load.orders().NotRun + Load.orders().MayHaveRun == 0);
+  checkAllAnswered(Load);
   checkNothingWrong(Fleet, Load);
 }
 
--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -408,9 +408,10 @@
     if (Random() % 4 == 0) {
       order(Vm);
     } else {
-      const std::string Verdict = Fleet.call(Vm, "GET", "/status").Verdict;
+      const caller_answer Answer = Fleet.call(Vm, "GET", "/status");
       const std::lock_guard Guard(Lock);
-      countAnswer(Status, Verdict);
+      countAnswer(Status, Answer.Verdict);
+      noteUnanswered(Vm, "GET", Answer);
     }
     std::this_thread::sleep_for(milliseconds(Random() % 30));
   }
@@ -418,11 +419,30 @@
 
 void background_load::order(const std::string &Vm) {
   const std::string Key = freshKey();
-  const std::string Verdict =
-      Fleet.call(Vm, "POST", "/orders", Key, "one charm").Verdict;
+  const caller_answer Answer =
+      Fleet.call(Vm, "POST", "/orders", Key, "one charm");
   const std::lock_guard Guard(Lock);
-  countAnswer(Orders, Verdict);
-  Keys[Key] = Verdict;
+  countAnswer(Orders, Answer.Verdict);
+  noteUnanswered(Vm, "POST", Answer);
+  Keys[Key] = Answer.Verdict;
+}
+
+void background_load::noteUnanswered(const std::string &Vm,
+                                     const std::string &Method,
+                                     const caller_answer &Answer) {
+  if (Answer.Verdict == "answered")
+    return;
+  const auto At = std::chrono::duration_cast<milliseconds>(
+      std::chrono::steady_clock::now() - Begin);
+  Unanswered +=
+      fmt::format("after {} ms: {} through {}: status {}, verdict '{}', {}\n",
+                  At.count(), Method, Vm, Answer.Status, Answer.Verdict,
+                  Answer.Reason);
+}
+
+std::string background_load::unansweredRequests() {
+  const std::lock_guard Guard(Lock);
+  return Unanswered;
 }
 
 background_load::counts background_load::statusChecks() {
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -139,6 +139,10 @@
   counts statusChecks();
   counts orders();
 
+  /// Returns a line for each request that was not answered: when, through which
+  /// VM, and what the caller was told.
+  std::string unansweredRequests();
+
   /// Compares every key with what the backend servers ran: returns a sentence
   /// for each that ran twice, was lost, or was falsely told as not run.
   std::vector<std::string> wrongKeys();
@@ -146,6 +150,8 @@
 private:
   void run(unsigned Seed);
   void order(const std::string &Vm);
+  void noteUnanswered(const std::string &Vm, const std::string &Method,
+                      const caller_answer &Answer);
 
   process_fleet &Fleet;
   std::mutex Lock;
@@ -153,6 +159,9 @@
   counts Status;
   counts Orders;
   std::map<std::string, std::string> Keys; ///< With the verdict told.
+  std::string Unanswered;                  ///< A line each.
+  std::chrono::steady_clock::time_point Begin =
+      std::chrono::steady_clock::now();
   bool Stopping = false;
   std::vector<std::thread> Threads;
 };
