Large table updates are compressed, and not repeated while they are on their way

Both hubs of a zone sent it to each VM with every heartbeat and every reply, four times a second, until the VM said that it had it. Elsewhere the replicas became older than 1.15 s, and 30 VMs read the whole row from the store at once, over the region's link. Peers that do not know the field skip the update and read the store themselves. Ruled out: the store alone (slow from 18.6 to 21.8 s; the two VMs stayed cut until 30 s).

--- a/include/agatedale/agatedale.h
+++ b/include/agatedale/agatedale.h
@@ -34,6 +34,7 @@
 #include "agatedale/snapshot_limiter.h"
 #include "agatedale/store_follower.h"
 #include "agatedale/store_mirror.h"
+#include "agatedale/update_pacer.h"
 #include "agatedale/verdict.h"
 #include "agatedale/vm_directory.h"
 #include "agatedale/weighted_round_robin.h"
--- a/include/agatedale/store_mirror.h
+++ b/include/agatedale/store_mirror.h
@@ -79,6 +79,12 @@
   /// Returns true once a snapshot of every table has been applied.
   bool isComplete() const;
 
+  /// Returns a number that grows whenever rows or tombstones of \p Table
+  /// change.
+  std::uint64_t revision(store_table Table) const {
+    return tableState(Table).Revision;
+  }
+
   /// Returns the existing rows of \p Table by key.
   const std::map<std::string, stored_row> &rows(store_table Table) const {
     return tableState(Table).Rows;
@@ -91,6 +97,7 @@
 
   struct table {
     std::uint64_t Position = 0;
+    std::uint64_t Revision = 0;
     /// Removals up to this version may have no tombstone any more.
     std::uint64_t TombstonesPrunedUpTo = 0;
     time_point AsOf{};
--- a/src/core/store_mirror.cpp
+++ b/src/core/store_mirror.cpp
@@ -14,6 +14,7 @@
   const auto Tombstone = Table.Tombstones.find(Row.Key);
   if (Tombstone != Table.Tombstones.end() && Tombstone->second >= Row.Version)
     return false;
+  ++Table.Revision;
   if (Row.Removed) {
     Table.Tombstones[Row.Key] = Row.Version;
     return Table.Rows.erase(Row.Key) > 0;
@@ -35,6 +36,7 @@
   for (const std::string &Key : Dropped) {
     Table.Rows.erase(Key);
     Table.Tombstones[Key] = Update.Position;
+    ++Table.Revision;
   }
   return !Dropped.empty();
 }
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -4,20 +4,18 @@
 
 #include "../core/log.h"
 #include "agatedale/metrics.h"
-#include "agatedale/snapshot_limiter.h"
 #include "fleet_state.h"
 #include "group_host.h"
 #include "listener.h"
 #include "peer_transport.h"
 #include "platform/decode.h"
 #include "request_router.h"
+#include "store_relay.h"
 #include "store_worker.h"
-#include "wire_convert.h"
 
 #include <fmt/format.h>
 
 #include <chrono>
-#include <map>
 #include <random>
 
 namespace agatedale {
@@ -114,8 +112,6 @@
   void sendHeartbeats();
   void scheduleHeartbeats();
   wire_gateway::Heartbeat makeHeartbeat(const std::string &Peer);
-  void addTableUpdates(wire_gateway::Heartbeat &Message,
-                       const std::string &Peer, time_point Now);
   void addZonePeerStates(wire_gateway::Heartbeat &Message,
                          time_point Now) const;
   void connectToOwners();
@@ -142,8 +138,7 @@
   std::unique_ptr<listener> CallerListener;
   std::unique_ptr<listener> ReadinessListener;
   std::unique_ptr<listener> MetricsListener;
-  std::map<std::string, std::vector<std::uint64_t>> PeerPositions;
-  snapshot_limiter SnapshotLimiter;
+  store_relay Relay;
   time_point LastHeartbeatsAt{};
   bool HeartbeatsScheduled = false;
   bool Registering = false;
@@ -313,38 +308,14 @@
   Message.set_ready(isReady());
   Message.set_leaving(Stopping);
   Message.set_reads_fail(FleetState->readsFail());
-  const store_mirror &Mirror = FleetState->mirror();
-  for (const store_table Table : AllStoreTables)
-    Message.add_positions(Mirror.position(Table));
   const time_point Now = bootNow();
   const auto Listed = Vms.find(Peer);
   if (Listed && Listed->Zone == Settings.Zone)
     addZonePeerStates(Message, Now);
-  addTableUpdates(Message, Peer, Now);
+  Relay.addUpdates(Message, Peer, FleetState->mirror(), Now);
   return Message;
 }
 
-void gateway_node::impl::addTableUpdates(wire_gateway::Heartbeat &Message,
-                                         const std::string &Peer,
-                                         time_point Now) {
-  const store_mirror &Mirror = FleetState->mirror();
-  const auto Known = PeerPositions.find(Peer);
-  if (Known == PeerPositions.end() || !Mirror.isComplete())
-    return;
-  std::vector<table_update> Updates;
-  Updates.reserve(AllStoreTables.size());
-  for (const store_table Table : AllStoreTables)
-    Updates.push_back(Mirror.updateSince(
-        Table, Known->second[static_cast<std::size_t>(Table)]));
-  const bool HasSnapshot =
-      std::any_of(Updates.begin(), Updates.end(),
-                  [](const table_update &Item) { return Item.IsSnapshot; });
-  if (HasSnapshot && !SnapshotLimiter.tryAcquire(Peer, Now))
-    return;
-  for (const table_update &Item : Updates)
-    *Message.add_news() = toMessage(Item, Now);
-}
-
 void gateway_node::impl::addZonePeerStates(wire_gateway::Heartbeat &Message,
                                            time_point Now) const {
   for (const zone_member &ZonePeer : Vms.zoneMembers(Now)) {
@@ -362,21 +333,13 @@
   const time_point Now = bootNow();
   Vms.recordHeartbeat(Message.vm(), Message.ready(), Message.leaving(), Now);
   Vms.setReadsFail(Message.vm(), Message.reads_fail());
-  if (Message.positions_size() == static_cast<int>(AllStoreTables.size()))
-    PeerPositions[Message.vm()] = {Message.positions().begin(),
-                                   Message.positions().end()};
   for (const wire_gateway::ZoneMate &ZonePeer : Message.mates())
     Vms.mergeZoneMember({ZonePeer.name_hash(),
                          Now - std::chrono::milliseconds(ZonePeer.age_ms()),
                          ZonePeer.ready(), ZonePeer.leaving()});
-  for (const wire_gateway::TableNews &Item : Message.news()) {
-    const result<table_update> Update = fromMessage(Item, Now);
-    if (const error *Error = errorOf(Update))
-      logLine(log_level::Error, "peer-message-refused",
-              {{"why", Error->Message}, {"vm", Message.vm()}});
-    else
-      FleetState->applyPeerUpdate(valueOf(Update));
-  }
+  Relay.readUpdates(Message, Now, [this](const table_update &Update) {
+    FleetState->applyPeerUpdate(Update);
+  });
 }
 
 wire_gateway::Heartbeat
--- /dev/null
+++ b/src/gateway/store_relay.cpp
@@ -0,0 +1,135 @@
+/// \file
+/// Encoding, pacing and decoding of relayed table updates.
+#include "store_relay.h"
+
+#include "../core/log.h"
+#include "compression.h"
+#include "wire_convert.h"
+
+#include <algorithm>
+
+namespace agatedale {
+
+namespace {
+
+namespace wire = agatedale::gateway;
+
+/// Updates up to this size are sent as they are.
+constexpr std::size_t MaxUnpackedBytes = 1024;
+
+/// Maximum number of positions per table for which an update is kept encoded.
+constexpr std::size_t MaxCachedUpdates = 16;
+
+/// Larger updates are refused.
+constexpr std::size_t MaxUpdateBytes = 64 << 20;
+
+void refuse(const wire::Heartbeat &Message, const error &Error) {
+  logLine(log_level::Error, "peer-message-refused",
+          {{"why", Error.Message}, {"vm", Message.vm()}});
+}
+
+result<table_update> unpack(const wire::PackedNews &Packed, time_point Now) {
+  if (Packed.unpacked_bytes() > MaxUpdateBytes)
+    return error{error_kind::InvalidInput, "table update is too large"};
+  const result<std::string> Bytes =
+      decompress(Packed.rows(), Packed.unpacked_bytes());
+  if (const error *Error = errorOf(Bytes))
+    return *Error;
+  wire::TableNews News;
+  if (!News.ParseFromString(valueOf(Bytes)))
+    return error{error_kind::InvalidInput, "unreadable table update"};
+  const auto Rows = std::move(*News.mutable_rows());
+  News = Packed.news();
+  *News.mutable_rows() = Rows;
+  return fromMessage(News, Now);
+}
+
+} // namespace
+
+const store_relay::encoded_update &
+store_relay::encode(const store_mirror &Mirror, store_table Table,
+                    std::uint64_t Since) {
+  table_cache &Known = Cache[static_cast<std::size_t>(Table)];
+  if (Known.Revision != Mirror.revision(Table) ||
+      Known.BySince.size() >= MaxCachedUpdates) {
+    Known.BySince.clear();
+    Known.Revision = Mirror.revision(Table);
+  }
+  const auto [Found, IsNew] = Known.BySince.try_emplace(Since);
+  encoded_update &Encoded = Found->second;
+  if (!IsNew)
+    return Encoded;
+  Encoded.Update = Mirror.updateSince(Table, Since);
+  addRows(std::exchange(Encoded.Update.Rows, {}), Encoded.Rows);
+  Encoded.Bytes = Encoded.Rows.ByteSizeLong();
+  if (Encoded.Bytes <= MaxUnpackedBytes)
+    return Encoded;
+  Encoded.Packed.set_unpacked_bytes(static_cast<std::uint32_t>(Encoded.Bytes));
+  Encoded.Packed.set_rows(compress(Encoded.Rows.SerializeAsString()));
+  Encoded.Bytes = Encoded.Packed.rows().size();
+  Encoded.Rows.Clear();
+  return Encoded;
+}
+
+void store_relay::addUpdates(wire::Heartbeat &Message, const std::string &Peer,
+                             const store_mirror &Mirror, time_point Now) {
+  for (const store_table Table : AllStoreTables)
+    Message.add_positions(Mirror.position(Table));
+  const auto Known = PeerPositions.find(Peer);
+  if (Known == PeerPositions.end() || !Mirror.isComplete())
+    return;
+  const table_positions &Positions = Known->second;
+  std::array<const encoded_update *, AllStoreTables.size()> Due{};
+  bool HasSnapshot = false;
+  for (const store_table Table : AllStoreTables) {
+    if (!Pacer.maySend(Peer, Table, Now))
+      continue;
+    const auto Index = static_cast<std::size_t>(Table);
+    Due[Index] = &encode(Mirror, Table, Positions[Index]);
+    HasSnapshot = HasSnapshot || Due[Index]->Update.IsSnapshot;
+  }
+  if (HasSnapshot && !SnapshotLimiter.tryAcquire(Peer, Now))
+    return;
+  for (const encoded_update *Encoded : Due) {
+    if (!Encoded)
+      continue;
+    table_update Update = Encoded->Update;
+    Update.Position = Mirror.position(Update.Table);
+    Update.AsOf = Mirror.asOf(Update.Table);
+    Pacer.onSent(Peer, Update, Encoded->Bytes, Now);
+    if (Encoded->Packed.rows().empty()) {
+      wire::TableNews &News = *Message.add_news();
+      News = Encoded->Rows;
+      News.MergeFrom(toMessage(Update, Now));
+      continue;
+    }
+    wire::PackedNews &Packed = *Message.add_packed();
+    Packed = Encoded->Packed;
+    *Packed.mutable_news() = toMessage(Update, Now);
+  }
+}
+
+void store_relay::readUpdates(
+    const wire::Heartbeat &Message, time_point Now,
+    const std::function<void(const table_update &Update)> &OnUpdate) {
+  if (Message.positions_size() == static_cast<int>(AllStoreTables.size())) {
+    table_positions &Positions = PeerPositions[Message.vm()];
+    std::copy(Message.positions().begin(), Message.positions().end(),
+              Positions.begin());
+    for (const store_table Table : AllStoreTables)
+      Pacer.recordPosition(Message.vm(), Table,
+                           Positions[static_cast<std::size_t>(Table)]);
+  }
+  const auto Apply = [&](const result<table_update> &Update) {
+    if (const error *Error = errorOf(Update))
+      refuse(Message, *Error);
+    else
+      OnUpdate(valueOf(Update));
+  };
+  for (const wire::TableNews &News : Message.news())
+    Apply(fromMessage(News, Now));
+  for (const wire::PackedNews &Packed : Message.packed())
+    Apply(unpack(Packed, Now));
+}
+
+} // namespace agatedale
--- /dev/null
+++ b/src/gateway/store_relay.h
@@ -0,0 +1,62 @@
+/// \file
+/// Relays the replica of the store to peers with the heartbeats.
+#pragma once
+
+#include "agatedale/snapshot_limiter.h"
+#include "agatedale/store_mirror.h"
+#include "agatedale/update_pacer.h"
+
+#include "gateway.pb.h"
+
+#include <array>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace agatedale {
+
+/// Adds to each heartbeat the changes of the store's tables that its receiver
+/// lacks, and reads those that a peer has added. Large updates are compressed,
+/// once for all receivers, and not repeated while they are on their way.
+///
+///   Relay.addUpdates(Message, Peer, Mirror, Now);
+///   Relay.readUpdates(Message, Now, [&](const table_update &Update) { ... });
+class store_relay {
+public:
+  /// Adds the tables' positions and the updates that \p Peer lacks.
+  void addUpdates(agatedale::gateway::Heartbeat &Message,
+                  const std::string &Peer, const store_mirror &Mirror,
+                  time_point Now);
+
+  /// Records the sender's positions and passes its updates to \p OnUpdate.
+  void
+  readUpdates(const agatedale::gateway::Heartbeat &Message, time_point Now,
+              const std::function<void(const table_update &Update)> &OnUpdate);
+
+private:
+  using table_positions = std::array<std::uint64_t, AllStoreTables.size()>;
+
+  /// An update as it is sent to every peer of the same position.
+  struct encoded_update {
+    table_update Update; ///< Without rows.
+    std::size_t Bytes = 0;
+    agatedale::gateway::TableNews Rows;    ///< Only rows; few.
+    agatedale::gateway::PackedNews Packed; ///< Only rows; many.
+  };
+
+  const encoded_update &encode(const store_mirror &Mirror, store_table Table,
+                               std::uint64_t Since);
+
+  std::map<std::string, table_positions> PeerPositions;
+  snapshot_limiter SnapshotLimiter;
+  update_pacer Pacer;
+  /// Valid for the table's revision; cleared when it changes.
+  struct table_cache {
+    std::uint64_t Revision = 0;
+    std::map<std::uint64_t, encoded_update> BySince;
+  };
+  std::array<table_cache, AllStoreTables.size()> Cache;
+};
+
+} // namespace agatedale
--- a/src/gateway/wire_convert.cpp
+++ b/src/gateway/wire_convert.cpp
@@ -135,14 +135,18 @@
   Message.set_position(Update.Position);
   Message.set_whole(Update.IsSnapshot);
   Message.set_age_ms(millisUntil(Now, Update.AsOf));
-  for (const stored_row &Row : Update.Rows) {
+  addRows(Update.Rows, Message);
+  return Message;
+}
+
+void addRows(std::span<const stored_row> Rows, wire::TableNews &Message) {
+  for (const stored_row &Row : Rows) {
     wire::Row &Out = *Message.add_rows();
     Out.set_key(Row.Key);
     Out.set_value(Row.Value);
     Out.set_version(Row.Version);
     Out.set_removed(Row.Removed);
   }
-  return Message;
 }
 
 result<table_update> fromMessage(const wire::TableNews &Message,
--- a/src/gateway/wire_convert.h
+++ b/src/gateway/wire_convert.h
@@ -7,6 +7,8 @@
 
 #include "gateway.pb.h"
 
+#include <span>
+
 namespace agatedale {
 
 agatedale::gateway::Forward toMessage(const forward_request &Request,
@@ -19,6 +21,8 @@
 
 agatedale::gateway::TableNews toMessage(const table_update &Update,
                                         time_point Now);
+void addRows(std::span<const stored_row> Rows,
+             agatedale::gateway::TableNews &Message);
 result<table_update> fromMessage(const agatedale::gateway::TableNews &Message,
                                  time_point Now);
 
--- /dev/null
+++ b/tests/unit/store_relay_test.cpp
@@ -0,0 +1,171 @@
+/// \file
+/// Tests of store_relay.
+#include "../../src/gateway/store_relay.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+using namespace agatedale;
+using agatedale::gateway::Heartbeat;
+using std::chrono::milliseconds;
+
+BOOST_AUTO_TEST_SUITE(store_relay_test)
+
+namespace {
+
+constexpr time_point Start{std::chrono::hours(1)};
+
+/// Returns bytes that compression shortens little.
+std::string randomBytes(std::size_t Size) {
+  std::string Bytes;
+  std::uint32_t State = 1;
+  while (Bytes.size() < Size)
+    Bytes.push_back(
+        static_cast<char>((State = State * 1664525 + 1013904223) >> 24));
+  return Bytes;
+}
+
+/// Returns a mirror of tables at version 10.
+store_mirror readMirror() {
+  store_mirror Mirror;
+  for (const store_table Table : AllStoreTables)
+    Mirror.apply({Table, 0, 10, true, Start, {{"a", "1", 5, false}}});
+  return Mirror;
+}
+
+void writeRow(store_mirror &Mirror, const std::string &Value,
+              std::uint64_t Version) {
+  Mirror.apply({store_table::Operators,
+                Version - 1,
+                Version,
+                false,
+                Start,
+                {{"config", Value, Version, false}}});
+}
+
+/// Returns a heartbeat of the VM "peer" with \p Position in all tables.
+Heartbeat heartbeatAt(std::uint64_t Position) {
+  Heartbeat Message;
+  Message.set_vm("peer");
+  for (std::size_t I = 0; I < AllStoreTables.size(); ++I)
+    Message.add_positions(Position);
+  return Message;
+}
+
+/// Reads a heartbeat of "peer" at \p Position and returns the one sent back.
+Heartbeat replyTo(store_relay &Relay, const store_mirror &Mirror,
+                  std::uint64_t Position, time_point Now = Start) {
+  Relay.readUpdates(heartbeatAt(Position), Now, [](const table_update &) {});
+  Heartbeat Reply;
+  Relay.addUpdates(Reply, "peer", Mirror, Now);
+  return Reply;
+}
+
+/// Applies what \p Message relays to \p Mirror; returns how many updates.
+int applyAll(const Heartbeat &Message, store_mirror &Mirror) {
+  store_relay Relay;
+  int Count = 0;
+  Relay.readUpdates(Message, Start, [&](const table_update &Update) {
+    Mirror.apply(Update);
+    ++Count;
+  });
+  return Count;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(FewRowsAreRelayedAsTheyAre) {
+  store_mirror Mirror = readMirror();
+  writeRow(Mirror, "new", 11);
+  store_relay Relay;
+  const Heartbeat Reply = replyTo(Relay, Mirror, 10);
+  store_mirror Peer = readMirror();
+  BOOST_TEST(applyAll(Reply, Peer) == 3);
+  BOOST_TEST(Reply.packed_size() == 0);
+  BOOST_TEST(Peer.rows(store_table::Operators).at("config").Value == "new");
+}
+
+BOOST_AUTO_TEST_CASE(LargeRowArrivesWhole) {
+  const std::string Value = randomBytes(200'000);
+  store_mirror Mirror = readMirror();
+  writeRow(Mirror, Value, 11);
+  store_relay Relay;
+  const Heartbeat Reply = replyTo(Relay, Mirror, 10);
+  store_mirror Peer = readMirror();
+  applyAll(Reply, Peer);
+  BOOST_TEST(Reply.packed_size() == 1);
+  BOOST_TEST((Peer.rows(store_table::Operators).at("config").Value == Value));
+  BOOST_TEST(Peer.position(store_table::Operators) == 11U);
+}
+
+BOOST_AUTO_TEST_CASE(LargeRowsAreCompressed) {
+  store_mirror Mirror = readMirror();
+  writeRow(Mirror, std::string(200'000, 'a'), 11);
+  store_relay Relay;
+  BOOST_TEST(replyTo(Relay, Mirror, 10).ByteSizeLong() < 4000U);
+}
+
+BOOST_AUTO_TEST_CASE(LargeUpdateIsNotRepeatedWithEachHeartbeat) {
+  store_mirror Mirror = readMirror();
+  writeRow(Mirror, randomBytes(200'000), 11);
+  store_relay Relay;
+  BOOST_TEST(replyTo(Relay, Mirror, 10).packed_size() == 1);
+  const time_point Next = Start + milliseconds(250);
+  BOOST_TEST(replyTo(Relay, Mirror, 10, Next).packed_size() == 0);
+  BOOST_TEST(replyTo(Relay, Mirror, 10, Start + update_pacer::InitialTimeout)
+                 .packed_size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(OtherTablesAreConfirmedWhileALargeUpdateIsSent) {
+  store_mirror Mirror = readMirror();
+  writeRow(Mirror, randomBytes(200'000), 11);
+  store_relay Relay;
+  replyTo(Relay, Mirror, 10);
+  const Heartbeat Next = replyTo(Relay, Mirror, 10, Start + milliseconds(250));
+  BOOST_TEST(Next.news_size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(RowThatChangedIsRelayedWithItsNewValue) {
+  store_mirror Mirror = readMirror();
+  store_relay Relay;
+  writeRow(Mirror, std::string(2000, 'a'), 11);
+  replyTo(Relay, Mirror, 10);
+  writeRow(Mirror, std::string(2000, 'b'), 12);
+  store_mirror Peer = readMirror();
+  applyAll(replyTo(Relay, Mirror, 10), Peer);
+  BOOST_TEST(Peer.rows(store_table::Operators).at("config").Value ==
+             std::string(2000, 'b'));
+}
+
+BOOST_AUTO_TEST_CASE(RemovedRowIsRemovedAtThePeer) {
+  store_mirror Mirror = readMirror();
+  store_relay Relay;
+  replyTo(Relay, Mirror, 10);
+  Mirror.apply(
+      {store_table::Operators, 10, 11, false, Start, {{"a", "", 11, true}}});
+  store_mirror Peer = readMirror();
+  applyAll(replyTo(Relay, Mirror, 10), Peer);
+  BOOST_TEST(Peer.rows(store_table::Operators).empty());
+}
+
+BOOST_AUTO_TEST_CASE(DamagedUpdateIsSkipped) {
+  store_mirror Mirror = readMirror();
+  writeRow(Mirror, randomBytes(200'000), 11);
+  store_relay Relay;
+  Heartbeat Reply = replyTo(Relay, Mirror, 10);
+  Reply.mutable_packed(0)->mutable_rows()->resize(1000);
+  store_mirror Peer = readMirror();
+  BOOST_TEST(applyAll(Reply, Peer) == 2);
+  BOOST_TEST(Peer.position(store_table::Operators) == 10U);
+}
+
+BOOST_AUTO_TEST_CASE(AgeIsThatOfTheReplicaWhenTheHeartbeatIsMade) {
+  store_mirror Mirror = readMirror();
+  store_relay Relay;
+  replyTo(Relay, Mirror, 10);
+  const Heartbeat Later = replyTo(Relay, Mirror, 10, Start + milliseconds(300));
+  BOOST_TEST(Later.news(0).age_ms() == 300U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
