A stop that reaches its end answers every request

Change: at that moment the router answers all: requests that no server was sent as not run (503), others as possibly run (504), those of peers too; 0.3 s are left to send them, and new requests are refused as not run.

--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -54,7 +54,11 @@
 /// Idle connections are closed after this delay.
 constexpr duration DrainDelay = std::chrono::milliseconds(2300);
 
-/// A stop ends at least this long before the platform kills the process.
+/// Time for the responses to the requests that a stop has not waited for.
+constexpr duration FinalResponseTime = std::chrono::milliseconds(300);
+
+/// The responses of a stop are sent at least this long before the platform
+/// kills the process.
 constexpr duration StopMargin = std::chrono::milliseconds(700);
 
 /// Time that replies to peers get to leave during shutdown.
@@ -469,7 +473,13 @@
     CallerListener->closeIdle();
   const bool Idle = Router->inProgress() == 0 && Host->inProgress() == 0 &&
                     CallerListener->connections() == 0;
-  if ((DrainDelayOver && Idle) || DrainElapsed >= MaxDrainTime) {
+  const bool HasTimedOut = DrainElapsed >= MaxDrainTime;
+  if (HasTimedOut) {
+    Router->answerAll();
+    CallerListener->closeIdle();
+  }
+  const bool MustEnd = DrainElapsed >= MaxDrainTime + FinalResponseTime;
+  if ((DrainDelayOver && Idle) || MustEnd) {
     logLine(log_level::Info, "stopped",
             {{"requests", Router->inProgress()},
              {"dispatched", Host->inProgress()},
--- a/src/gateway/group_host.cpp
+++ b/src/gateway/group_host.cpp
@@ -218,6 +218,16 @@
   Requests.erase(Found);
 }
 
+bool group_host::withdraw(forward_ticket Ticket) {
+  const auto Found = Requests.find(Ticket);
+  const bool IsUnsent =
+      Found != Requests.end() && Found->second.Attempts == 0 &&
+      Groups.at(Found->second.Request.Group)->Group.withdraw(Ticket);
+  if (IsUnsent)
+    Requests.erase(Found);
+  return IsUnsent;
+}
+
 void group_host::cancel(forward_ticket Ticket) {
   const auto Found = Requests.find(Ticket);
   if (Found == Requests.end())
--- a/src/gateway/group_host.h
+++ b/src/gateway/group_host.h
@@ -35,6 +35,11 @@
   /// request in progress runs to completion.
   void cancel(forward_ticket Ticket);
 
+  /// Removes a request that no server was sent. Returns false, and changes
+  /// nothing, if it may have been sent to one; its callback is not called if
+  /// it was removed.
+  bool withdraw(forward_ticket Ticket);
+
   /// Advances the time of every group.
   void tick();
 
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -101,7 +101,8 @@
   time_point ArrivedAt{};
   bool Done = false;
   event_loop::timer_id Timer = 0;
-  std::function<void()> Cancel; ///< Cancels the request at its current owner.
+  std::function<void()> Cancel;  ///< Cancels the request at its current owner.
+  forward_ticket HostTicket = 0; ///< 0 if this VM is not the owner.
 };
 
 request_router::request_router(event_loop &Loop,
@@ -132,8 +133,9 @@
 }
 
 void request_router::serve(const std::shared_ptr<caller_exchange> &Exchange) {
-  if (!Snapshot) {
-    refuseImmediately(Exchange, refusal_reason::NotReady);
+  if (!Snapshot || IsEnding) {
+    refuseImmediately(Exchange, IsEnding ? refusal_reason::Stopping
+                                         : refusal_reason::NotReady);
     return;
   }
   http_request_message &Message = Exchange->Request;
@@ -162,7 +164,7 @@
   Request.MaxAttempts = Route->MaxAttempts;
   // Moved to avoid a second copy of the body; the exchange no longer uses it.
   Request.Message = std::move(Message);
-  ++InProgress;
+  ActiveRequests.insert(ActiveRequest);
   Exchange->OnCallerDisconnected = [this, ActiveRequest] {
     onCallerDisconnected(ActiveRequest);
   };
@@ -225,10 +227,12 @@
                     [this, ActiveRequest](forward_response Response) {
                       onResponse(ActiveRequest, std::move(Response));
                     });
+    ActiveRequest->HostTicket = Ticket;
     ActiveRequest->Cancel = [this, Ticket] { Host.cancel(Ticket); };
     return;
   }
   const time_point Now = bootNow();
+  ActiveRequest->HostTicket = 0;
   ActiveRequest->Cancel = Peers->forward(
       Owner, toMessage(ActiveRequest->Request, Now),
       ActiveRequest->Request.Deadline + PeerResponseGrace - Now,
@@ -320,7 +324,7 @@
   ActiveRequest->Done = true;
   ActiveRequest->Cancel = nullptr;
   Loop.cancel(ActiveRequest->Timer);
-  --InProgress;
+  ActiveRequests.erase(ActiveRequest);
   const duration RequestLatency = bootNow() - ActiveRequest->ArrivedAt;
   const forward_request &Request = ActiveRequest->Request;
   const bool Served = Response.Verdict == verdict::Answered;
@@ -368,7 +372,7 @@
   ActiveRequest->Done = true;
   ActiveRequest->Exchange = nullptr;
   Loop.cancel(ActiveRequest->Timer);
-  --InProgress;
+  ActiveRequests.erase(ActiveRequest);
   const auto Cancel = std::move(ActiveRequest->Cancel);
   ActiveRequest->Cancel = nullptr;
   logLine(log_level::Info, "caller-disconnected",
@@ -403,7 +407,7 @@
   }
   const auto Finish = [this, Ticket, Done,
                        Share](const forward_response &Response) {
-    PeerCancelHandlers.erase(Ticket);
+    PeerRequests.erase(Ticket);
     Done(toMessage(Response));
   };
   const std::string_view Region =
@@ -415,13 +419,12 @@
                            !Request.Relayed && Owner->Region == Settings.Region;
   if (!ShouldRelay) {
     const forward_ticket HostTicket = Host.submit(std::move(Request), Finish);
-    PeerCancelHandlers[Ticket] = [this, HostTicket] {
-      Host.cancel(HostTicket);
-    };
+    PeerRequests[Ticket] = {[this, HostTicket] { Host.cancel(HostTicket); },
+                            Finish, HostTicket};
     return Ticket;
   }
   Request.Relayed = true;
-  PeerCancelHandlers[Ticket] = Peers->forward(
+  auto Cancel = Peers->forward(
       *Owner, toMessage(Request, Now),
       Request.Deadline + PeerResponseGrace - Now,
       [Finish](const wire_gateway::Forwarded *Reply, peer_failure Failure) {
@@ -432,16 +435,39 @@
                                : verdict::MayHaveRun;
         Finish(Reply ? fromMessage(*Reply) : Response);
       });
+  PeerRequests[Ticket] = {std::move(Cancel), Finish, 0};
   return Ticket;
 }
 
 void request_router::cancelForPeer(forward_ticket Ticket) {
-  const auto Found = PeerCancelHandlers.find(Ticket);
-  if (Found == PeerCancelHandlers.end())
+  const auto Found = PeerRequests.find(Ticket);
+  if (Found == PeerRequests.end())
     return;
-  const auto Cancel = std::move(Found->second);
-  PeerCancelHandlers.erase(Found);
+  const auto Cancel = std::move(Found->second.Cancel);
+  PeerRequests.erase(Found);
   Cancel();
 }
 
+forward_response request_router::stoppingResponse(forward_ticket HostTicket) {
+  forward_response Response;
+  Response.Reason = refusal_reason::Stopping;
+  const bool IsUnsent = HostTicket != 0 && Host.withdraw(HostTicket);
+  Response.Verdict = IsUnsent ? verdict::NotRun : verdict::MayHaveRun;
+  return Response;
+}
+
+void request_router::answerAll() {
+  IsEnding = true;
+  const auto OfCallers = ActiveRequests;
+  for (const active_request_ptr &ActiveRequest : OfCallers) {
+    forward_response Response = stoppingResponse(ActiveRequest->HostTicket);
+    Response.Verdict =
+        combineVerdicts(ActiveRequest->CombinedVerdict, Response.Verdict);
+    complete(ActiveRequest, std::move(Response));
+  }
+  const auto OfPeers = PeerRequests;
+  for (const auto &[Ticket, Request] : OfPeers)
+    Request.Finish(stoppingResponse(Request.HostTicket));
+}
+
 } // namespace agatedale
--- a/src/gateway/request_router.h
+++ b/src/gateway/request_router.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 
 namespace agatedale {
@@ -50,16 +51,28 @@
                const std::function<void(wire_gateway::Forwarded)> &Done);
   void cancelForPeer(forward_ticket Ticket);
 
+  /// Answers every request that is in progress, of callers and of peers,
+  /// because the process ends: as not run only if no server was sent it. Later
+  /// requests are refused.
+  void answerAll();
+
   /// Returns the number of requests from callers and peers that are not
   /// answered yet.
   int inProgress() const {
-    return InProgress + static_cast<int>(PeerCancelHandlers.size());
+    return static_cast<int>(ActiveRequests.size() + PeerRequests.size());
   }
 
 private:
   struct active_request;
   using active_request_ptr = std::shared_ptr<active_request>;
 
+  /// A request of a peer until its response.
+  struct peer_request {
+    std::function<void()> Cancel;
+    std::function<void(const forward_response &)> Finish;
+    forward_ticket HostTicket = 0; ///< 0 if it was passed on.
+  };
+
   void refuseImmediately(const std::shared_ptr<caller_exchange> &Exchange,
                          refusal_reason Reason);
   std::vector<group_candidate>
@@ -76,6 +89,7 @@
   void complete(const active_request_ptr &ActiveRequest,
                 forward_response Response);
   void onOverdue(const active_request_ptr &ActiveRequest);
+  forward_response stoppingResponse(forward_ticket HostTicket);
   void onCallerDisconnected(const active_request_ptr &ActiveRequest);
   http_response_message makeRefusal(const forward_response &Response);
 
@@ -89,10 +103,11 @@
   std::shared_ptr<const fleet_snapshot> Snapshot;
   group_selector Selector;
   std::map<std::string, weighted_round_robin> RouteSplits; ///< By route.
-  std::map<forward_ticket, std::function<void()>> PeerCancelHandlers;
+  std::map<forward_ticket, peer_request> PeerRequests;
+  std::set<active_request_ptr> ActiveRequests;
   forward_ticket LastPeerTicket = 0;
   std::mt19937_64 Random;
-  int InProgress = 0;
+  bool IsEnding = false;
 };
 
 } // namespace agatedale
