Damaged TOML documents are errors in Debug builds too

Change: the library's assertion macro throws, and parseToml() returns it as an error. Ruled out: undefined behaviour in release builds; with GCC the macro expands to nothing there and the parser reports the error itself. Test: configuration_test DamagedDocumentsNeverCrashTheReader, in a Debug build.

--- a/src/config/toml_reader.cpp
+++ b/src/config/toml_reader.cpp
@@ -182,6 +182,9 @@
     return error{error_kind::InvalidInput,
                  fmt::format("{}:{}:{}: {}", Source, Where.line, Where.column,
                              Failure.description())};
+  } catch (const std::logic_error &Failure) {
+    return error{error_kind::InvalidInput,
+                 fmt::format("{}: unreadable: {}", Source, Failure.what())};
   }
 }
 
--- a/src/config/toml_reader.h
+++ b/src/config/toml_reader.h
@@ -4,6 +4,13 @@
 
 #include "agatedale/result.h"
 
+#include <stdexcept>
+
+// Damaged documents violate assertions of toml++. parseToml() returns them as
+// errors; without NDEBUG they would end the process.
+#define TOML_ASSERT(Condition)                                                 \
+  ((Condition) ? static_cast<void>(0)                                          \
+               : throw std::logic_error("violated: " #Condition))
 #include <toml++/toml.h>
 
 #include <cstdint>
