Urgent requests get the retries first while servers shed more than these make up for

Change: a request takes a retry only if those that more urgent ones of its group may still use are left; the least urgent get what could not accumulate any more.

--- a/include/agatedale/retry_budget.h
+++ b/include/agatedale/retry_budget.h
@@ -27,9 +27,11 @@
   /// Adds the share of one new request.
   void deposit() { Tokens = std::min(Tokens + Share, MaxTokens); }
 
-  /// Takes one retry out of the budget. Returns false if it is exhausted.
-  bool tryWithdraw() {
-    if (Tokens < 1)
+  /// Takes one retry out of the budget. Returns false if it is exhausted. \p
+  /// ReservedShare of what can accumulate is left to more urgent requests.
+  bool tryWithdraw(double ReservedShare = 0) {
+    const double Reserved = ReservedShare * std::max(MaxTokens - 1, 0.0);
+    if (Tokens < 1 + Reserved)
       return false;
     Tokens -= 1;
     return true;
--- a/include/agatedale/server_group.h
+++ b/include/agatedale/server_group.h
@@ -12,6 +12,7 @@
 #include "agatedale/verdict.h"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <span>
@@ -327,6 +328,7 @@
                         time_point Now) const;
   void recordAnswer(server_state &State, const attempt &Attempt,
                     time_point Now);
+  double retriesReservedFrom(const work_item &Item) const;
   void retryOrRefuse(const work_item &Item, int Server, attempt_outcome Outcome,
                      time_point Now, std::vector<group_action> &Actions);
   void abandonOthers(running_request &Running, attempt_id Winner,
@@ -339,6 +341,8 @@
 
   server_group_settings Settings;
   retry_budget Budget;
+  int HighestPriority = std::numeric_limits<int>::max(); ///< Seen so far.
+  int LowestPriority = std::numeric_limits<int>::min();  ///< Seen so far.
   fair_queue Queue;
   std::vector<server_state> Servers;
   std::map<attempt_id, attempt> Attempts;
--- a/src/core/server_group.cpp
+++ b/src/core/server_group.cpp
@@ -56,6 +56,8 @@
                                                time_point Now) {
   std::vector<group_action> Actions;
   ++Counters.Submitted;
+  HighestPriority = std::min(HighestPriority, Item.Priority);
+  LowestPriority = std::max(LowestPriority, Item.Priority);
   // A request earns retry budget only at the first group that it is offered to.
   if (Item.IsFirstOffer)
     Budget.deposit();
@@ -73,7 +75,8 @@
     return Actions;
   }
   // An attempt after those of other groups is charged as a retry.
-  if (Item.AttemptsBefore > 0 && !Budget.tryWithdraw()) {
+  if (Item.AttemptsBefore > 0 &&
+      !Budget.tryWithdraw(retriesReservedFrom(Item))) {
     refuse(Item, refusal_reason::RetryBudgetSpent, Now, Actions);
     return Actions;
   }
@@ -239,6 +242,16 @@
   return Actions;
 }
 
+/// Returns the share of the retries that is left to requests more urgent than
+/// \p Item. When servers shed more than the retries make up for, the urgent
+/// requests get them first.
+double server_group::retriesReservedFrom(const work_item &Item) const {
+  if (LowestPriority <= HighestPriority)
+    return 0;
+  return static_cast<double>(Item.Priority - HighestPriority) /
+         (LowestPriority - HighestPriority);
+}
+
 void server_group::retryOrRefuse(const work_item &Item, int Server,
                                  attempt_outcome Outcome, time_point Now,
                                  std::vector<group_action> &Actions) {
@@ -255,7 +268,8 @@
   const bool HasTime = Now + fromMicros(TypicalMicros) < Item.Deadline;
   const bool Allowed =
       !HandedOver && Now < LeaseEnd && Repeatable && HasTime && IsBelowBound;
-  if (Allowed && Queue.size() < Queue.capacity() && Budget.tryWithdraw()) {
+  if (Allowed && Queue.size() < Queue.capacity() &&
+      Budget.tryWithdraw(retriesReservedFrom(Item))) {
     ++Counters.Retries;
     Queue.requeue(Next);
     return;
--- a/tests/unit/retry_budget_test.cpp
+++ b/tests/unit/retry_budget_test.cpp
@@ -28,6 +28,22 @@
   BOOST_TEST(withdrawAll(Budget) == 3);
 }
 
+BOOST_AUTO_TEST_CASE(ReservedRetriesAreLeftToOthers) {
+  retry_budget Budget = retry_budget::create(10);
+  Budget.setBurst(5);
+  int Count = 0;
+  while (Budget.tryWithdraw(0.5))
+    ++Count;
+  BOOST_TEST(Count == 3);
+  BOOST_TEST(withdrawAll(Budget) == 2);
+}
+
+BOOST_AUTO_TEST_CASE(BudgetOfOneRetryServesEveryRequest) {
+  retry_budget Budget = retry_budget::create(10);
+  Budget.setBurst(1);
+  BOOST_TEST(Budget.tryWithdraw(1));
+}
+
 // Servers of all groups shed at once: each group spends what it accumulated.
 BOOST_AUTO_TEST_CASE(GroupsTogetherStayWithinTheBurstOfTheService) {
   constexpr int Groups = 80;
