--- a/include/agatedale/agatedale.h
+++ b/include/agatedale/agatedale.h
@@ -24,6 +24,7 @@
 #include "agatedale/platform_client.h"
 #include "agatedale/platform_service.h"
 #include "agatedale/publishing.h"
+#include "agatedale/registration_pacer.h"
 #include "agatedale/result.h"
 #include "agatedale/retry_budget.h"
 #include "agatedale/roster.h"
--- a/include/agatedale/gateway_settings.h
+++ b/include/agatedale/gateway_settings.h
@@ -33,10 +33,15 @@
   std::chrono::milliseconds StopGrace{6000}; ///< From SIGTERM to SIGKILL.
   /// CPU cores available to the process, reduced on a slow link.
   double Capacity = 1;
+  double LinkBytesPerSecond = 125e6;
   /// Maximum total bytes of buffered request bodies.
   std::size_t BodyBytes = 32 << 20;
   double RetryPercent = 10; ///< Retries allowed per hundred requests.
   double RetryBurst = 50;   ///< Unused retries of a service, in the fleet.
+  /// True if the whole system starts for the first time.
+  bool IsBootstrap = false;
+  /// Writes per second that the store performs in a table.
+  double StoreWritesPerSecond = 200;
   log_level Level = log_level::Info;
 
   /// Reads and validates \p File. Errors contain file, line and key.
--- a/include/agatedale/store_follower.h
+++ b/include/agatedale/store_follower.h
@@ -18,16 +18,20 @@
   /// A VM whose replica is older than this reads the store itself. A healthy
   /// reader keeps replicas younger than one long poll plus one heartbeat.
   duration MaxRelayedAge = std::chrono::milliseconds(1150);
-  /// Added to MaxRelayedAge for each rank, so that not all VMs read the store
-  /// at the same time.
+  /// Added to MaxRelayedAge for each rank. It is the time in which what a VM
+  /// has read reaches the next one, so that while the reader and the hubs are
+  /// cut from the store one VM of a zone reads and not all of them.
   duration ExtraAgePerRank = std::chrono::milliseconds(120);
-  int MaxRank = 4;
   /// A starting VM waits this long for a hub's first snapshot before it reads
   /// the store itself.
   duration InitialSnapshotTimeout = std::chrono::milliseconds(700);
-  /// Pause after a failed read; doubles with each failure up to MaxBackoff.
+  /// Pause after a failed read; doubles with each failure up to MaxBackoff. VMs
+  /// that rank after HubRanks pause longer by their rank, so that an outage of
+  /// the store does not make a whole fleet call it.
   duration InitialBackoff = std::chrono::milliseconds(150);
   duration MaxBackoff = std::chrono::milliseconds(600);
+  int HubRanks = 2;
+  int MaxBackoffRank = 8;
 };
 
 /// A read of one table: a snapshot, or the changes after a version.
@@ -52,10 +56,11 @@
 
   /// Returns the read that is due at \p Now, if any. \p Rank is 0 for the
   /// region's reader. \p SnapshotTime is the time that the hubs need to send
-  /// their snapshot to all VMs of the zone.
-  std::optional<store_read> next(const store_mirror &Mirror, int Rank,
-                                 time_point Now,
-                                 duration SnapshotTime = duration::zero());
+  /// their snapshot to all VMs of the zone; nothing for a hub, which reads the
+  /// first snapshot itself so that the others wait for no chain of VMs.
+  std::optional<store_read>
+  next(const store_mirror &Mirror, int Rank, time_point Now,
+       std::optional<duration> SnapshotTime = duration::zero());
 
   /// Records a successful answer, an answer that the requested history has been
   /// truncated, or a failed read.
@@ -67,6 +72,7 @@
   store_follower_settings Settings;
   std::set<store_table> NeedsSnapshot;
   std::optional<time_point> FirstPollAt;
+  int LastRank = 0;
   int Failures = 0;
   time_point BackoffUntil{};
 };
--- a/include/agatedale/vm_directory.h
+++ b/include/agatedale/vm_directory.h
@@ -114,9 +114,13 @@
                                   std::string_view Region,
                                   time_point Now) const;
 
-  /// Returns the rank of this VM among the hubs of the region; the VM with rank
-  /// 0 reads the store for the region. VMs whose reads fail rank last. \p
-  /// OwnReadsFail tells whether the reads of this VM fail.
+  /// Returns true if this VM is a hub of its zone.
+  bool isHub(time_point Now) const;
+
+  /// Returns the rank of this VM among those that may read the store for the
+  /// region; the VM with rank 0 reads it. The hubs come first, then the other
+  /// VMs of each zone in their order as hubs. Hubs whose reads fail rank after
+  /// the others. \p OwnReadsFail tells whether the reads of this VM fail.
   int readerRank(bool OwnReadsFail, time_point Now) const;
 
   /// Returns the VMs of the own zone to remove from the list in the store.
@@ -150,8 +154,8 @@
                                        time_point Now) const;
   const entry_vm *bestOwner(std::string_view Subject, std::string_view Region,
                             std::string_view Zone, time_point Now) const;
-  bool isHub(time_point Now) const;
   bool receivesFromMostOfZone(time_point Now) const;
+  int largerZoneMembers(time_point Now) const;
   member *nextSilentHub(time_point Now);
 
   entry_vm Self;
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -28,6 +28,7 @@
 /// CPU cores per Mbit/s of the link. A VM on a 10 Mbit/s link, the slowest in
 /// use, has the same capacity as the VMs with 0.2 cores at small sites.
 constexpr double CoresPerMegabit = 0.02;
+constexpr double BytesPerMegabit = 1e6 / 8;
 
 } // namespace
 
@@ -51,15 +52,19 @@
   Settings.StopGrace = std::chrono::milliseconds(static_cast<std::int64_t>(
       MillisPerSecond *
       Reader.number("stop_grace_s", 6, 0.5, MaxStopGraceSeconds)));
-  Settings.Capacity =
-      std::min(Reader.number("cpu_share", 1, 0.001, 1024),
-               CoresPerMegabit * Reader.number("link_mbps", 1e6, 0.001, 1e6));
+  const double LinkMegabits = Reader.number("link_mbps", 1e6, 0.001, 1e6);
+  Settings.Capacity = std::min(Reader.number("cpu_share", 1, 0.001, 1024),
+                               CoresPerMegabit * LinkMegabits);
+  Settings.LinkBytesPerSecond = BytesPerMegabit * LinkMegabits;
   Settings.BodyBytes = static_cast<std::size_t>(
       BodyMemoryShare * BytesPerMebibyte *
       Reader.number("memory_mb", DefaultMemoryMb, 16, 1 << 20));
   Settings.RetryPercent =
       Percent * OwnerRetryShare * Reader.number("retry_ratio", 0.2, 0, 10);
   Settings.RetryBurst = Reader.number("retry_burst", 50, 0, 1e6);
+  Settings.IsBootstrap = Reader.boolean("bootstrap", false);
+  Settings.StoreWritesPerSecond =
+      Reader.number("store_writes_per_s", 200, 1, 1e6);
   Settings.Level = parseLogLevel(Reader.choice(
       "log_level", "info", {"debug", "info", "warning", "error"}));
   if (const toml::table *Zones = Reader.table("zones")) {
--- a/src/core/store_follower.cpp
+++ b/src/core/store_follower.cpp
@@ -6,9 +6,10 @@
 
 namespace agatedale {
 
-std::optional<store_read> store_follower::next(const store_mirror &Mirror,
-                                               int Rank, time_point Now,
-                                               duration SnapshotTime) {
+std::optional<store_read>
+store_follower::next(const store_mirror &Mirror, int Rank, time_point Now,
+                     std::optional<duration> SnapshotTime) {
+  LastRank = Rank;
   if (Now < BackoffUntil)
     return std::nullopt;
   FirstPollAt = FirstPollAt.value_or(Now);
@@ -16,8 +17,10 @@
   if (Mirror.position(store_table::Vms) == 0)
     return store_read{store_table::Vms, true, 0, {}};
   const bool AwaitsInitialSnapshot =
-      Rank > 0 &&
-      Now - *FirstPollAt < Settings.InitialSnapshotTimeout + SnapshotTime;
+      Rank > 0 && SnapshotTime &&
+      Now - *FirstPollAt < Settings.InitialSnapshotTimeout + *SnapshotTime +
+                               std::min(Rank, Settings.MaxBackoffRank) *
+                                   Settings.ExtraAgePerRank;
   std::uint64_t Newest = 0;
   for (const store_table Table : AllStoreTables) {
     const bool NeverRead = Mirror.position(Table) == 0;
@@ -28,8 +31,7 @@
     Newest = std::max(Newest, Mirror.position(Table));
   }
   const duration MaxAge =
-      Settings.MaxRelayedAge +
-      std::min(Rank, Settings.MaxRank) * Settings.ExtraAgePerRank;
+      Settings.MaxRelayedAge + Rank * Settings.ExtraAgePerRank;
   if (Rank > 0 && Now - Mirror.asOf() < MaxAge)
     return std::nullopt;
   for (const store_table Table : AllStoreTables) {
@@ -53,8 +55,11 @@
 void store_follower::onFailure(time_point Now) {
   constexpr int MaxDoublings = 4;
   const int Doublings = std::min(Failures++, MaxDoublings);
-  BackoffUntil = Now + std::min(Settings.InitialBackoff * (1 << Doublings),
-                                Settings.MaxBackoff);
+  const int Factor =
+      std::clamp(LastRank - Settings.HubRanks + 1, 1, Settings.MaxBackoffRank);
+  BackoffUntil =
+      Now + Factor * std::min(Settings.InitialBackoff * (1 << Doublings),
+                              Settings.MaxBackoff);
 }
 
 } // namespace agatedale
--- a/src/core/vm_directory.cpp
+++ b/src/core/vm_directory.cpp
@@ -267,10 +267,23 @@
   return Statuses;
 }
 
+/// Returns the number of live VMs of the own zone that come first as hubs.
+int vm_directory::largerZoneMembers(time_point Now) const {
+  const auto Own = hubWeight(Self);
+  return static_cast<int>(std::count_if(
+      ZoneMembers.begin(), ZoneMembers.end(), [&](const auto &Entry) {
+        const member &Member = *Entry.second;
+        return Member.HubWeight > Own && isHubCandidate(Member, Now);
+      }));
+}
+
 int vm_directory::readerRank(bool OwnReadsFail, time_point Now) const {
   const auto Own = hubWeight(Self);
-  if (OwnReadsFail || !isHub(Now))
-    return static_cast<int>(Settings.HubsPerZone);
+  const int HubCount = static_cast<int>(Settings.HubsPerZone);
+  if (!isHub(Now))
+    return std::max(HubCount, largerZoneMembers(Now));
+  if (OwnReadsFail)
+    return HubCount;
   int Preceding = 0;
   for (const auto &[Name, Member] : Members) {
     const bool MayRead = Member.Vm.Region == Self.Region &&
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -49,11 +49,13 @@
   const bool IsGracePeriod = GracePeriod.isActive(Now);
   if (std::exchange(GracePeriodWasActive, IsGracePeriod) && !IsGracePeriod)
     rebuild();
-  if (Reading)
+  if (Reading || Now < StartAt)
     return;
   const int Rank = Vms.readerRank(readsFail(), Now);
-  const auto Read = Follower.next(Mirror, Rank, Now,
-                                  snapshot_limiter::timeFor(Vms.zoneSize()));
+  const std::optional<duration> SnapshotTime =
+      Vms.isHub(Now) ? std::nullopt
+                     : std::optional(snapshot_limiter::timeFor(Vms.zoneSize()));
+  const auto Read = Follower.next(Mirror, Rank, Now, SnapshotTime);
   if (!Read)
     return;
   Reading = true;
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -40,6 +40,9 @@
       : Settings(Settings), Vms(Vms), Worker(Worker),
         Handlers(std::move(Handlers)), Follower({}) {}
 
+  /// Delays the first read of the store.
+  void setStart(time_point NewStartAt) { StartAt = NewStartAt; }
+
   /// Checks the replica's age and starts a read of the store if one is due.
   void tick();
 
@@ -78,6 +81,7 @@
   handlers Handlers;
   store_mirror Mirror;
   store_follower Follower;
+  time_point StartAt{};
   bool Reading = false;
   std::shared_ptr<const fleet_snapshot> View;
   std::optional<configuration_parts> ActiveParts;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -4,6 +4,7 @@
 
 #include "../core/log.h"
 #include "agatedale/metrics.h"
+#include "agatedale/registration_pacer.h"
 #include "fleet_state.h"
 #include "group_host.h"
 #include "listener.h"
@@ -16,6 +17,7 @@
 #include <fmt/format.h>
 
 #include <chrono>
+#include <optional>
 #include <random>
 
 namespace agatedale {
@@ -35,16 +37,17 @@
 constexpr duration HeartbeatInterval = std::chrono::milliseconds(250);
 constexpr duration HeartbeatTimeout = std::chrono::milliseconds(500);
 
+/// Heartbeat interval of a VM that waits for its hubs' snapshot.
+constexpr duration StartHeartbeatInterval = std::chrono::milliseconds(100);
+
 /// Minimum time between heartbeats that are sent early because of table
 /// updates. Limits their number when many rows change one after the other, as
 /// when a fleet starts.
 constexpr duration MinHeartbeatGap = std::chrono::milliseconds(50);
 
-/// Bounds of the delay before this VM's row is written again after a failed
-/// write. It doubles with each failure and is drawn at random, because all VMs
-/// of a fleet may register in the same moment.
-constexpr duration MinRegisterDelay = std::chrono::milliseconds(500);
-constexpr duration MaxRegisterDelay = std::chrono::milliseconds(2000);
+/// At the first start of the system the list of VMs is read this long after the
+/// last VM has written its row.
+constexpr duration BootstrapReadDelay = std::chrono::milliseconds(200);
 
 /// Interval at which VMs that have stopped sending heartbeats are removed.
 constexpr duration CleanupInterval = std::chrono::seconds(1);
@@ -91,7 +94,10 @@
 public:
   explicit impl(const gateway_settings &Settings)
       : Settings(Settings), Vms(vm_directory::create(makeSelf(Settings), {})),
-        Random(stableHash(Settings.Vm)) {}
+        Relay(store_relay::create(Settings.LinkBytesPerSecond)),
+        RegistrationPacer(
+            registration_pacer::create(Settings.StoreWritesPerSecond)),
+        Random(Vms.self().Id.Incarnation ^ stableHash(Settings.Vm)) {}
 
   /// Stops everything that posts to the event loop before the loop is
   /// destroyed.
@@ -123,8 +129,10 @@
   void applyHeartbeat(const wire_gateway::Heartbeat &Message);
   void onVmListChanged();
   void onSnapshotChanged();
+  double drawShare();
+  void beginRegistration();
+  void scheduleRegistration(duration Delay);
   void registerSelf();
-  void retryRegisterSelf();
   void updateReady();
   bool isReady() const;
   void checkDrained(time_point Since);
@@ -145,10 +153,11 @@
   store_relay Relay;
   time_point LastHeartbeatsAt{};
   bool HeartbeatsScheduled = false;
-  bool Registering = false;
-  duration RegisterDelay = MinRegisterDelay;
+  registration_pacer RegistrationPacer;
+  bool IsRegistering = false; ///< A write is scheduled or in progress.
+  /// Version of the store in which this process has written its row.
+  std::optional<std::uint64_t> RegisteredAt;
   std::mt19937_64 Random;
-  bool Registered = false;
   bool Stopping = false;
   /// While set, calls from peers are answered but no call is made.
   bool PeersStopping = false;
@@ -206,7 +215,7 @@
   Transport->setBodies(Bodies);
   if (const std::optional<error> Error = openMetrics())
     return *Error;
-  registerSelf();
+  beginRegistration();
   runTick();
   runHeartbeatTimer();
   runCleanupTimer();
@@ -276,7 +285,9 @@
 
 void gateway_node::impl::runHeartbeatTimer() {
   sendHeartbeats();
-  Loop->after(HeartbeatInterval, [this] { runHeartbeatTimer(); });
+  Loop->after(FleetState->mirror().isComplete() ? HeartbeatInterval
+                                                : StartHeartbeatInterval,
+              [this] { runHeartbeatTimer(); });
 }
 
 void gateway_node::impl::scheduleHeartbeats() {
@@ -357,12 +368,20 @@
   Vms.setListed(Listed, bootNow());
   Transport->disconnectAllExcept(Vms.otherVms());
   connectToOwners();
-  const bool IsListed =
-      std::any_of(Listed.begin(), Listed.end(), [this](const entry_vm &Vm) {
-        return Vm.Id == Vms.self().Id;
+  const vm_id Self = Vms.self().Id;
+  const auto Own =
+      std::find_if(Listed.begin(), Listed.end(), [&Self](const entry_vm &Vm) {
+        return Vm.Id.Name == Self.Name;
       });
-  if (!IsListed && Registered && !Stopping)
-    registerSelf();
+  const bool HasRow = Own != Listed.end();
+  // The list may be older than the row.
+  const bool IsOlder = RegisteredAt && FleetState->mirror().position(
+                                           store_table::Vms) < *RegisteredAt;
+  if ((!HasRow || Own->Id != Self) && !IsOlder)
+    scheduleRegistration(RegisteredAt
+                             ? duration::zero()
+                             : RegistrationPacer.delayOfRestart(
+                                   HasRow, Listed.size(), drawShare()));
   scheduleHeartbeats();
 }
 
@@ -374,33 +393,46 @@
   updateReady();
 }
 
+double gateway_node::impl::drawShare() {
+  return std::uniform_real_distribution<double>(0, 1)(Random);
+}
+
+/// A VM that starts later reads the list first, which tells whether the others
+/// know it.
+void gateway_node::impl::beginRegistration() {
+  if (!Settings.IsBootstrap)
+    return;
+  scheduleRegistration(registration_pacer::delayAtBootstrap(drawShare()));
+  FleetState->setStart(bootNow() + registration_pacer::BootstrapSpread +
+                       BootstrapReadDelay);
+}
+
+void gateway_node::impl::scheduleRegistration(duration Delay) {
+  if (IsRegistering || Stopping)
+    return;
+  IsRegistering = true;
+  Loop->after(Delay, [this] { registerSelf(); });
+}
+
 void gateway_node::impl::registerSelf() {
-  if (Registering || Stopping)
+  if (Stopping)
     return;
-  Registering = true;
   Worker->write(store_table::Vms, Settings.Vm, platform::encodeVm(Vms.self()),
-                [this](const result<success> &Done) {
-                  Registering = false;
-                  Registered = true;
-                  const error *Error = errorOf(Done);
+                [this](const result<std::uint64_t> &Version) {
+                  IsRegistering = false;
+                  const error *Error = errorOf(Version);
                   if (!Error) {
-                    RegisterDelay = MinRegisterDelay;
+                    RegisteredAt = valueOf(Version);
+                    RegistrationPacer.onSuccess();
                     return;
                   }
                   logLine(log_level::Warning, "store-write-failed",
                           {{"row", Settings.Vm}, {"why", Error->Message}});
-                  retryRegisterSelf();
+                  scheduleRegistration(
+                      RegistrationPacer.delayAfterFailure(drawShare()));
                 });
 }
 
-void gateway_node::impl::retryRegisterSelf() {
-  std::uniform_real_distribution<double> Share(0.5, 1);
-  const duration Delay =
-      std::chrono::duration_cast<duration>(RegisterDelay * Share(Random));
-  RegisterDelay = std::min(2 * RegisterDelay, MaxRegisterDelay);
-  Loop->after(Delay, [this] { registerSelf(); });
-}
-
 void gateway_node::impl::connectToOwners() {
   const auto Snapshot = FleetState->view();
   if (!Snapshot)
@@ -429,7 +461,7 @@
   for (const std::string &SilentVm : Vms.removableVms(Now)) {
     Worker->remove(
         store_table::Vms, SilentVm, FleetState->vmRowVersion(SilentVm),
-        [SilentVm](const result<success> &Done) {
+        [SilentVm](const result<std::uint64_t> &Done) {
           const error *Error = errorOf(Done);
           logLine(log_level::Info, "vm-removed",
                   {{"vm", SilentVm},
@@ -456,7 +488,7 @@
   sendHeartbeats();
   Worker->remove(store_table::Vms, Settings.Vm,
                  FleetState->vmRowVersion(Settings.Vm),
-                 [this](const result<success> &Done) {
+                 [this](const result<std::uint64_t> &Done) {
                    if (const error *Error = errorOf(Done))
                      logLine(log_level::Warning, "store-write-failed",
                              {{"row", Settings.Vm}, {"why", Error->Message}});
--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/store_relay.cpp
@@ -81,14 +81,16 @@
   const table_positions &Positions = Known->second;
   std::array<const encoded_update *, AllStoreTables.size()> Due{};
   bool HasSnapshot = false;
+  std::size_t Bytes = 0;
   for (const store_table Table : AllStoreTables) {
     if (!Pacer.maySend(Peer, Table, Now))
       continue;
     const auto Index = static_cast<std::size_t>(Table);
     Due[Index] = &encode(Mirror, Table, Positions[Index]);
     HasSnapshot = HasSnapshot || Due[Index]->Update.IsSnapshot;
+    Bytes += Due[Index]->Bytes;
   }
-  if (HasSnapshot && !SnapshotLimiter.tryAcquire(Peer, Now))
+  if (HasSnapshot && !SnapshotLimiter.tryAcquire(Peer, Bytes, Now))
     return;
   for (const encoded_update *Encoded : Due) {
     if (!Encoded)
--- a/src/gateway/store_relay.h
+++ b/src/gateway/store_relay.h
@@ -20,10 +20,16 @@
 /// lacks, and reads those that a peer has added. Large updates are compressed,
 /// once for all receivers, and not repeated while they are on their way.
 ///
+///   store_relay Relay = store_relay::create(LinkBytesPerSecond);
 ///   Relay.addUpdates(Message, Peer, Mirror, Now);
 ///   Relay.readUpdates(Message, Now, [&](const table_update &Update) { ... });
 class store_relay {
 public:
+  /// \p LinkBytesPerSecond is the speed of this VM's link.
+  static store_relay create(double LinkBytesPerSecond) {
+    return store_relay(snapshot_limiter::create(LinkBytesPerSecond));
+  }
+
   /// Adds the tables' positions and the updates that \p Peer lacks.
   void addUpdates(agatedale::gateway::Heartbeat &Message,
                   const std::string &Peer, const store_mirror &Mirror,
@@ -45,6 +51,9 @@
     agatedale::gateway::PackedNews Packed; ///< Only rows; many.
   };
 
+  explicit store_relay(const snapshot_limiter &Limiter)
+      : SnapshotLimiter(Limiter) {}
+
   const encoded_update &encode(const store_mirror &Mirror, store_table Table,
                                std::uint64_t Since);
 
--- a/src/gateway/store_worker.cpp
+++ b/src/gateway/store_worker.cpp
@@ -90,7 +90,7 @@
                          write_done Done) {
   WriteQueue.add([this, Table, Key = std::move(Key), Value = std::move(Value),
                   Done = std::move(Done)](auto &Client) {
-    const result<success> Result = Client.write(Table, Key, Value);
+    const result<std::uint64_t> Result = Client.write(Table, Key, Value);
     Loop.post([Result, Done] { Done(Result); });
   });
 }
@@ -99,7 +99,7 @@
                           std::uint64_t Version, write_done Done) {
   WriteQueue.add([this, Table, Key = std::move(Key), Version,
                   Done = std::move(Done)](auto &Client) {
-    const result<success> Result = Client.remove(Table, Key, Version);
+    const result<std::uint64_t> Result = Client.remove(Table, Key, Version);
     Loop.post([Result, Done] { Done(Result); });
   });
 }
--- a/src/gateway/store_worker.h
+++ b/src/gateway/store_worker.h
@@ -23,7 +23,8 @@
 class store_worker {
 public:
   using read_done = std::function<void(const result<table_update> &Update)>;
-  using write_done = std::function<void(const result<success> &Done)>;
+  /// Receives the version of the store after the change.
+  using write_done = std::function<void(const result<std::uint64_t> &Version)>;
 
   static result<std::unique_ptr<store_worker>>
   start(event_loop &Loop, const std::string &Address);
--- a/tests/unit/store_following_test.cpp
+++ b/tests/unit/store_following_test.cpp
@@ -141,6 +141,42 @@
   BOOST_TEST(Follower.next(readMirror(), 0, Start + seconds(1)).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(BackoffGrowsWithTheRank) {
+  store_follower Reader({});
+  store_follower Fifth({});
+  const time_point Now = Start + seconds(2);
+  for (store_follower *Follower : {&Reader, &Fifth}) {
+    Follower->next(readMirror(), Follower == &Reader ? 0 : 5, Now);
+    Follower->onFailure(Now);
+  }
+  const time_point Later = Now + milliseconds(200);
+  BOOST_TEST(Reader.next(readMirror(), 0, Later).has_value());
+  BOOST_TEST(!Fifth.next(readMirror(), 5, Later).has_value());
+}
+
+// The store is lost for all 59 VMs of a zone for 8 s. Hubs and readers try
+// again and again to notice its return; the others would only fail too.
+BOOST_AUTO_TEST_CASE(OutageDoesNotMakeAWholeZoneCallTheStore) {
+  constexpr int Vms = 59;
+  const time_point Return = Start + seconds(8);
+  const store_mirror Mirror = readMirror();
+  std::vector<store_follower> Followers(Vms, store_follower({}));
+  int Calls = 0;
+  std::optional<time_point> NoticedAt;
+  for (time_point Now = Start; !NoticedAt; Now += milliseconds(20)) {
+    for (int Rank = 0; Rank < Vms; ++Rank) {
+      store_follower &Follower = Followers[static_cast<std::size_t>(Rank)];
+      if (!Follower.next(Mirror, Rank, Now))
+        continue;
+      ++Calls;
+      Follower.onFailure(Now);
+      NoticedAt = Now >= Return ? std::optional(Now) : std::nullopt;
+    }
+  }
+  BOOST_TEST(Calls <= 3 * Vms, "expected 3 calls a VM, got " << Calls);
+  BOOST_TEST((*NoticedAt - Return <= milliseconds(600)));
+}
+
 BOOST_AUTO_TEST_CASE(StartingVmWaitsForAHubsFirstSnapshot) {
   store_mirror Mirror;
   Mirror.apply(snapshotOf(store_table::Vms, 10, {}));
@@ -149,6 +185,13 @@
   BOOST_TEST(Follower.next(Mirror, 2, Start + seconds(1)).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(StartingHubReadsItsFirstSnapshotItself) {
+  store_mirror Mirror;
+  Mirror.apply(snapshotOf(store_table::Vms, 10, {}));
+  store_follower Follower({});
+  BOOST_TEST(Follower.next(Mirror, 3, Start, std::nullopt).has_value());
+}
+
 // 59 VMs of a zone start at once; a hub sends its snapshot to a few at a time.
 BOOST_AUTO_TEST_CASE(VmOfALargeZoneWaitsUntilTheHubsHaveServedAll) {
   store_mirror Mirror;
--- a/tests/unit/store_relay_test.cpp
+++ b/tests/unit/store_relay_test.cpp
@@ -26,6 +26,8 @@
   return Bytes;
 }
 
+store_relay makeRelay() { return store_relay::create(12.5e6); }
+
 /// Returns a mirror of tables at version 10.
 store_mirror readMirror() {
   store_mirror Mirror;
@@ -64,7 +66,7 @@
 
 /// Applies what \p Message relays to \p Mirror; returns how many updates.
 int applyAll(const Heartbeat &Message, store_mirror &Mirror) {
-  store_relay Relay;
+  store_relay Relay = makeRelay();
   int Count = 0;
   Relay.readUpdates(Message, Start, [&](const table_update &Update) {
     Mirror.apply(Update);
@@ -78,7 +80,7 @@
 BOOST_AUTO_TEST_CASE(FewRowsAreRelayedAsTheyAre) {
   store_mirror Mirror = readMirror();
   writeRow(Mirror, "new", 11);
-  store_relay Relay;
+  store_relay Relay = makeRelay();
   const Heartbeat Reply = replyTo(Relay, Mirror, 10);
   store_mirror Peer = readMirror();
   BOOST_TEST(applyAll(Reply, Peer) == 3);
@@ -90,7 +92,7 @@
   const std::string Value = randomBytes(200'000);
   store_mirror Mirror = readMirror();
   writeRow(Mirror, Value, 11);
-  store_relay Relay;
+  store_relay Relay = makeRelay();
   const Heartbeat Reply = replyTo(Relay, Mirror, 10);
   store_mirror Peer = readMirror();
   applyAll(Reply, Peer);
@@ -102,14 +104,14 @@
 BOOST_AUTO_TEST_CASE(LargeRowsAreCompressed) {
   store_mirror Mirror = readMirror();
   writeRow(Mirror, std::string(200'000, 'a'), 11);
-  store_relay Relay;
+  store_relay Relay = makeRelay();
   BOOST_TEST(replyTo(Relay, Mirror, 10).ByteSizeLong() < 4000U);
 }
 
 BOOST_AUTO_TEST_CASE(LargeUpdateIsNotRepeatedWithEachHeartbeat) {
   store_mirror Mirror = readMirror();
   writeRow(Mirror, randomBytes(200'000), 11);
-  store_relay Relay;
+  store_relay Relay = makeRelay();
   BOOST_TEST(replyTo(Relay, Mirror, 10).packed_size() == 1);
   const time_point Next = Start + milliseconds(250);
   BOOST_TEST(replyTo(Relay, Mirror, 10, Next).packed_size() == 0);
@@ -120,7 +122,7 @@
 BOOST_AUTO_TEST_CASE(OtherTablesAreConfirmedWhileALargeUpdateIsSent) {
   store_mirror Mirror = readMirror();
   writeRow(Mirror, randomBytes(200'000), 11);
-  store_relay Relay;
+  store_relay Relay = makeRelay();
   replyTo(Relay, Mirror, 10);
   const Heartbeat Next = replyTo(Relay, Mirror, 10, Start + milliseconds(250));
   BOOST_TEST(Next.news_size() == 2);
@@ -128,7 +130,7 @@
 
 BOOST_AUTO_TEST_CASE(RowThatChangedIsRelayedWithItsNewValue) {
   store_mirror Mirror = readMirror();
-  store_relay Relay;
+  store_relay Relay = makeRelay();
   writeRow(Mirror, std::string(2000, 'a'), 11);
   replyTo(Relay, Mirror, 10);
   writeRow(Mirror, std::string(2000, 'b'), 12);
@@ -140,7 +142,7 @@
 
 BOOST_AUTO_TEST_CASE(RemovedRowIsRemovedAtThePeer) {
   store_mirror Mirror = readMirror();
-  store_relay Relay;
+  store_relay Relay = makeRelay();
   replyTo(Relay, Mirror, 10);
   Mirror.apply(
       {store_table::Operators, 10, 11, false, Start, {{"a", "", 11, true}}});
@@ -152,7 +154,7 @@
 BOOST_AUTO_TEST_CASE(DamagedUpdateIsSkipped) {
   store_mirror Mirror = readMirror();
   writeRow(Mirror, randomBytes(200'000), 11);
-  store_relay Relay;
+  store_relay Relay = makeRelay();
   Heartbeat Reply = replyTo(Relay, Mirror, 10);
   Reply.mutable_packed(0)->mutable_rows()->resize(1000);
   store_mirror Peer = readMirror();
@@ -162,7 +164,7 @@
 
 BOOST_AUTO_TEST_CASE(AgeIsThatOfTheReplicaWhenTheHeartbeatIsMade) {
   store_mirror Mirror = readMirror();
-  store_relay Relay;
+  store_relay Relay = makeRelay();
   replyTo(Relay, Mirror, 10);
   const Heartbeat Later = replyTo(Relay, Mirror, 10, Start + milliseconds(300));
   BOOST_TEST(Later.news(0).age_ms() == 300U);
--- a/tests/unit/vm_directory_test.cpp
+++ b/tests/unit/vm_directory_test.cpp
@@ -212,6 +212,16 @@
   BOOST_TEST(Readers == 1, "expected one replacement reader, got " << Readers);
 }
 
+BOOST_AUTO_TEST_CASE(EveryVmOfAZoneHasARankOfItsOwnAsAReader) {
+  const std::vector<entry_vm> All = zoneOf(8);
+  std::vector<int> Ranks;
+  for (const entry_vm &Vm : All)
+    Ranks.push_back(directory(Vm, All).readerRank(false, Start));
+  std::sort(Ranks.begin(), Ranks.end());
+  const std::vector<int> Expected{0, 1, 2, 3, 4, 5, 6, 7};
+  BOOST_TEST(Ranks == Expected, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(VmIsAvoidedForAWhileAfterAForwardFailure) {
   const std::vector<entry_vm> All{vm("far", "z", "other")};
   vm_directory Vms = directory(vm("self"), All);
