--- a/include/agatedale/store_follower.h
+++ b/include/agatedale/store_follower.h
@@ -38,6 +38,7 @@
 struct store_read {
   store_table Table = store_table::Operators;
   bool IsSnapshot = false;
+  bool IsOwnZoneOnly = false; ///< Only the rows of the VMs of the own zone.
   std::uint64_t After = 0;
   std::chrono::milliseconds Wait{0};
 };
@@ -62,6 +63,12 @@
   next(const store_mirror &Mirror, int Rank, time_point Now,
        std::optional<duration> SnapshotTime = duration::zero());
 
+  /// Records that the VMs of the own zone have been read.
+  void onZoneRead() {
+    Failures = 0;
+    IsZoneKnown = true;
+  }
+
   /// Records a successful answer, an answer that the requested history has been
   /// truncated, or a failed read.
   void onAnswer(store_table Table, bool IsSnapshot);
@@ -71,6 +78,7 @@
 private:
   store_follower_settings Settings;
   std::set<store_table> NeedsSnapshot;
+  bool IsZoneKnown = false;
   std::optional<time_point> FirstPollAt;
   int LastRank = 0;
   int Failures = 0;
--- a/src/core/store_follower.cpp
+++ b/src/core/store_follower.cpp
@@ -13,21 +13,28 @@
   if (Now < BackoffUntil)
     return std::nullopt;
   FirstPollAt = FirstPollAt.value_or(Now);
-  // The list of VMs comes first: it names the peers that can send the others.
-  if (Mirror.position(store_table::Vms) == 0)
-    return store_read{store_table::Vms, true, 0, {}};
   const bool AwaitsInitialSnapshot =
       Rank > 0 && SnapshotTime &&
       Now - *FirstPollAt < Settings.InitialSnapshotTimeout + *SnapshotTime +
                                std::min(Rank, Settings.MaxBackoffRank) *
                                    Settings.ExtraAgePerRank;
+  // The VMs of the zone come first: the hubs among them can send all tables. A
+  // fleet that starts would take a link between regions for seconds if every VM
+  // read the whole list.
+  if (Mirror.position(store_table::Vms) == 0) {
+    if (!IsZoneKnown)
+      return store_read{store_table::Vms, false, true, 0, {}};
+    if (AwaitsInitialSnapshot)
+      return std::nullopt;
+    return store_read{store_table::Vms, true, false, 0, {}};
+  }
   std::uint64_t Newest = 0;
   for (const store_table Table : AllStoreTables) {
     const bool NeverRead = Mirror.position(Table) == 0;
     if (NeverRead && AwaitsInitialSnapshot)
       return std::nullopt;
     if (NeverRead || NeedsSnapshot.contains(Table))
-      return store_read{Table, true, 0, {}};
+      return store_read{Table, true, false, 0, {}};
     Newest = std::max(Newest, Mirror.position(Table));
   }
   const duration MaxAge =
@@ -36,12 +43,12 @@
     return std::nullopt;
   for (const store_table Table : AllStoreTables) {
     if (Mirror.position(Table) < Newest)
-      return store_read{Table, false, Mirror.position(Table), {}};
+      return store_read{Table, false, false, Mirror.position(Table), {}};
   }
   // Only the reader long-polls; other VMs need just the current version.
   const auto Wait =
       Rank == 0 ? Settings.LongPollWait : std::chrono::milliseconds(0);
-  return store_read{store_table::Operators, false,
+  return store_read{store_table::Operators, false, false,
                     Mirror.position(store_table::Operators), Wait};
 }
 
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -60,28 +60,63 @@
     return;
   Reading = true;
   ReadLateAt = Now + Read->Wait + ReadDelayLimit;
+  if (Read->IsOwnZoneOnly) {
+    readZone();
+    return;
+  }
   Worker.read(*Read, [this, Read = *Read](const result<table_update> &Update) {
     onRead(Read, Update);
   });
 }
 
-void fleet_state::onRead(const store_read &Read,
-                         const result<table_update> &Update) {
+void fleet_state::readZone() {
+  Worker.readRange(store_table::Vms, platform::vmKey(Settings.Zone, ""),
+                   [this](const result<std::vector<stored_row>> &Rows) {
+                     endRead(store_table::Vms, errorOf(Rows));
+                     if (!errorOf(Rows))
+                       onZoneRead(valueOf(Rows));
+                   });
+}
+
+void fleet_state::onZoneRead(std::span<const stored_row> Rows) {
+  Follower.onZoneRead();
+  // A hub may have sent the whole list in the meantime.
+  if (Mirror.position(store_table::Vms) > 0)
+    return;
+  for (const stored_row &Row : Rows) {
+    const auto Vm = platform::decodeVm(Row.Key, Row.Value);
+    if (const error *Error = errorOf(Vm))
+      logLine(log_level::Warning, "row-decode-failed",
+              {{"why", Error->Message}});
+    else
+      ZoneVms.push_back(valueOf(Vm));
+  }
+  Handlers.OnVmsChanged();
+  tick();
+}
+
+/// Records the end of a read, with the error if it failed.
+void fleet_state::endRead(store_table Table, const error *Failure) {
   Reading = false;
   ReadLateAt.reset();
-  const error *Failure = errorOf(Update);
   LastReadFailed = Failure && Failure->Kind != error_kind::NotFound;
-  if (const error *Error = Failure) {
-    if (Error->Kind == error_kind::NotFound)
-      Follower.onHistoryTruncated(Read.Table);
-    else
-      Follower.onFailure(bootNow());
-    logLine(log_level::Warning, "store-read-failed",
-            {{"table", platform::tableName(Read.Table)},
-             {"why", Error->Message},
-             {"replica_age_ms", toMillis(bootNow() - Mirror.asOf())}});
+  if (!Failure)
+    return;
+  if (Failure->Kind == error_kind::NotFound)
+    Follower.onHistoryTruncated(Table);
+  else
+    Follower.onFailure(bootNow());
+  logLine(log_level::Warning, "store-read-failed",
+          {{"table", platform::tableName(Table)},
+           {"why", Failure->Message},
+           {"replica_age_ms", toMillis(bootNow() - Mirror.asOf())}});
+}
+
+void fleet_state::onRead(const store_read &Read,
+                         const result<table_update> &Update) {
+  endRead(Read.Table, errorOf(Update));
+  if (errorOf(Update))
     return;
-  }
   Follower.onAnswer(Read.Table, Read.IsSnapshot);
   apply(valueOf(Update));
   Mirror.confirmUpTo(valueOf(Update).Position, valueOf(Update).AsOf);
@@ -107,6 +142,8 @@
 }
 
 std::vector<entry_vm> fleet_state::listedVms() {
+  if (Mirror.position(store_table::Vms) == 0)
+    return ZoneVms;
   VmRows.update(Mirror.rows(store_table::Vms), platform::decodeVm);
   std::vector<entry_vm> Listed;
   Listed.reserve(VmRows.values().size());
@@ -115,9 +152,9 @@
   return Listed;
 }
 
-std::uint64_t fleet_state::vmRowVersion(const std::string &Vm) const {
+std::uint64_t fleet_state::vmRowVersion(const std::string &Key) const {
   const auto &Rows = Mirror.rows(store_table::Vms);
-  const auto Found = Rows.find(Vm);
+  const auto Found = Rows.find(Key);
   return Found == Rows.end() ? 0 : Found->second.Version;
 }
 
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -59,14 +59,18 @@
   /// read is overdue.
   bool readsFail() const;
 
-  /// Returns the entry VMs registered in the store.
+  /// Returns the entry VMs registered in the store; only those of the own zone
+  /// until the first snapshot.
   std::vector<entry_vm> listedVms();
 
-  /// Returns the version of the row of \p Vm, or 0 if it has none.
-  std::uint64_t vmRowVersion(const std::string &Vm) const;
+  /// Returns the version of a VM's row, or 0 if there is none.
+  std::uint64_t vmRowVersion(const std::string &Key) const;
 
 private:
   void onRead(const store_read &Read, const result<table_update> &Update);
+  void endRead(store_table Table, const error *Failure);
+  void readZone();
+  void onZoneRead(std::span<const stored_row> Rows);
   void checkStoreAge();
   void apply(const table_update &Update);
   void rebuild();
@@ -80,6 +84,7 @@
   store_worker &Worker;
   handlers Handlers;
   store_mirror Mirror;
+  std::vector<entry_vm> ZoneVms; ///< Known before the first snapshot.
   store_follower Follower;
   time_point StartAt{};
   bool Reading = false;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -129,6 +129,10 @@
   void applyHeartbeat(const wire_gateway::Heartbeat &Message);
   void onVmListChanged();
   void onSnapshotChanged();
+  /// Returns the key of the row of a VM of the own zone.
+  std::string rowKey(std::string_view Vm) const {
+    return platform::vmKey(Settings.Zone, Vm);
+  }
   double drawShare();
   void beginRegistration();
   void scheduleRegistration(duration Delay);
@@ -378,10 +382,11 @@
   const bool IsOlder = RegisteredAt && FleetState->mirror().position(
                                            store_table::Vms) < *RegisteredAt;
   if ((!HasRow || Own->Id != Self) && !IsOlder)
-    scheduleRegistration(RegisteredAt
-                             ? duration::zero()
-                             : RegistrationPacer.delayOfRestart(
-                                   HasRow, Listed.size(), drawShare()));
+    scheduleRegistration(
+        RegisteredAt
+            ? duration::zero()
+            : RegistrationPacer.delayOfRestart(
+                  HasRow, Vms.zoneSize() * Settings.Zones.size(), drawShare()));
   scheduleHeartbeats();
 }
 
@@ -417,20 +422,20 @@
 void gateway_node::impl::registerSelf() {
   if (Stopping)
     return;
-  Worker->write(store_table::Vms, Settings.Vm, platform::encodeVm(Vms.self()),
-                [this](const result<std::uint64_t> &Version) {
-                  IsRegistering = false;
-                  const error *Error = errorOf(Version);
-                  if (!Error) {
-                    RegisteredAt = valueOf(Version);
-                    RegistrationPacer.onSuccess();
-                    return;
-                  }
-                  logLine(log_level::Warning, "store-write-failed",
-                          {{"row", Settings.Vm}, {"why", Error->Message}});
-                  scheduleRegistration(
-                      RegistrationPacer.delayAfterFailure(drawShare()));
-                });
+  Worker->write(
+      store_table::Vms, rowKey(Settings.Vm), platform::encodeVm(Vms.self()),
+      [this](const result<std::uint64_t> &Version) {
+        IsRegistering = false;
+        const error *Error = errorOf(Version);
+        if (!Error) {
+          RegisteredAt = valueOf(Version);
+          RegistrationPacer.onSuccess();
+          return;
+        }
+        logLine(log_level::Warning, "store-write-failed",
+                {{"row", Settings.Vm}, {"why", Error->Message}});
+        scheduleRegistration(RegistrationPacer.delayAfterFailure(drawShare()));
+      });
 }
 
 void gateway_node::impl::connectToOwners() {
@@ -459,14 +464,15 @@
   if (!CleanupOwner || CleanupOwner->Id.Name != Settings.Vm)
     return;
   for (const std::string &SilentVm : Vms.removableVms(Now)) {
-    Worker->remove(
-        store_table::Vms, SilentVm, FleetState->vmRowVersion(SilentVm),
-        [SilentVm](const result<std::uint64_t> &Done) {
-          const error *Error = errorOf(Done);
-          logLine(log_level::Info, "vm-removed",
-                  {{"vm", SilentVm},
-                   {"why", Error ? Error->Message : "no heartbeat"}});
-        });
+    Worker->remove(store_table::Vms, rowKey(SilentVm),
+                   FleetState->vmRowVersion(rowKey(SilentVm)),
+                   [SilentVm](const result<std::uint64_t> &Done) {
+                     const error *Error = errorOf(Done);
+                     logLine(
+                         log_level::Info, "vm-removed",
+                         {{"vm", SilentVm},
+                          {"why", Error ? Error->Message : "no heartbeat"}});
+                   });
   }
 }
 
@@ -486,8 +492,8 @@
   updateReady();
   CallerListener->closeAfterResponses();
   sendHeartbeats();
-  Worker->remove(store_table::Vms, Settings.Vm,
-                 FleetState->vmRowVersion(Settings.Vm),
+  Worker->remove(store_table::Vms, rowKey(Settings.Vm),
+                 FleetState->vmRowVersion(rowKey(Settings.Vm)),
                  [this](const result<std::uint64_t> &Done) {
                    if (const error *Error = errorOf(Done))
                      logLine(log_level::Warning, "store-write-failed",
--- a/src/gateway/store_worker.cpp
+++ b/src/gateway/store_worker.cpp
@@ -86,6 +86,16 @@
   });
 }
 
+void store_worker::readRange(store_table Table, std::string Prefix,
+                             rows_done Done) {
+  ReadQueue.add([this, Table, Prefix = std::move(Prefix),
+                 Done = std::move(Done)](auto &Client) {
+    const auto Rows = std::make_shared<result<std::vector<stored_row>>>(
+        Client.readRange(Table, Prefix));
+    Loop.post([Rows, Done] { Done(*Rows); });
+  });
+}
+
 void store_worker::write(store_table Table, std::string Key, std::string Value,
                          write_done Done) {
   WriteQueue.add([this, Table, Key = std::move(Key), Value = std::move(Value),
--- a/src/gateway/store_worker.h
+++ b/src/gateway/store_worker.h
@@ -23,6 +23,8 @@
 class store_worker {
 public:
   using read_done = std::function<void(const result<table_update> &Update)>;
+  using rows_done =
+      std::function<void(const result<std::vector<stored_row>> &Rows)>;
   /// Receives the version of the store after the change.
   using write_done = std::function<void(const result<std::uint64_t> &Version)>;
 
@@ -31,6 +33,8 @@
   ~store_worker();
 
   void read(const store_read &Read, read_done Done);
+  /// Reads the rows whose key begins with \p Prefix.
+  void readRange(store_table Table, std::string Prefix, rows_done Done);
   void write(store_table Table, std::string Key, std::string Value,
              write_done Done);
   void remove(store_table Table, std::string Key, std::uint64_t Version,
--- a/tests/unit/store_following_test.cpp
+++ b/tests/unit/store_following_test.cpp
@@ -185,6 +185,25 @@
   BOOST_TEST(Follower.next(Mirror, 2, Start + seconds(1)).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(StartingVmReadsItsZoneBeforeTheWholeList) {
+  store_follower Follower({});
+  const auto First = Follower.next(store_mirror(), 0, Start);
+  BOOST_REQUIRE(First.has_value());
+  BOOST_TEST(First->IsOwnZoneOnly);
+  Follower.onZoneRead();
+  BOOST_TEST(!Follower.next(store_mirror(), 2, Start).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(StartingVmReadsTheWholeListIfNoHubSendsIt) {
+  store_follower Follower({});
+  Follower.next(store_mirror(), 2, Start);
+  Follower.onZoneRead();
+  const auto Read = Follower.next(store_mirror(), 2, Start + seconds(1));
+  BOOST_REQUIRE(Read.has_value());
+  BOOST_TEST(Read->IsSnapshot);
+  BOOST_TEST((Read->Table == store_table::Vms));
+}
+
 BOOST_AUTO_TEST_CASE(StartingHubReadsItsFirstSnapshotItself) {
   store_mirror Mirror;
   Mirror.apply(snapshotOf(store_table::Vms, 10, {}));
