--- a/include/agatedale/store_follower.h
+++ b/include/agatedale/store_follower.h
@@ -31,7 +31,7 @@
   duration InitialBackoff = std::chrono::milliseconds(150);
   duration MaxBackoff = std::chrono::milliseconds(600);
   int HubRanks = 2;
-  int MaxBackoffRank = 8;
+  int MaxBackoffRank = 16;
 };
 
 /// A read of one table: a snapshot, or the changes after a version.
