--- a/tests/unit/gateway_settings_test.cpp
+++ b/tests/unit/gateway_settings_test.cpp
@@ -69,6 +69,20 @@
   BOOST_TEST(valueOf(Settings).Capacity < 0.5);
 }
 
+BOOST_AUTO_TEST_CASE(BootstrapAndWritesOfTheStoreAreRead) {
+  const result<gateway_settings> Settings =
+      load(withLine("cpu_share", "bootstrap = true\nstore_writes_per_s = 50"));
+  BOOST_REQUIRE(!errorOf(Settings));
+  BOOST_TEST(valueOf(Settings).IsBootstrap);
+  BOOST_TEST(valueOf(Settings).StoreWritesPerSecond == 50);
+}
+
+BOOST_AUTO_TEST_CASE(StoreWithoutWritesIsNamed) {
+  const std::string Message =
+      errorMessage(withLine("cpu_share", "store_writes_per_s = 0"));
+  BOOST_TEST(mentionsKey(Message, "store_writes_per_s"), Message);
+}
+
 BOOST_AUTO_TEST_CASE(MissingKeyIsNamed) {
   const std::string Message = errorMessage(withLine("store_address", ""));
   BOOST_TEST(mentionsKey(Message, "store_address"), Message);
