--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/store_relay.cpp
@@ -50,15 +50,14 @@
 store_relay::encode(const store_mirror &Mirror, store_table Table,
                     std::uint64_t Since) {
   table_cache &Known = Cache[static_cast<std::size_t>(Table)];
-  if (Known.Revision != Mirror.revision(Table) ||
-      Known.BySince.size() >= MaxCachedUpdates) {
+  const bool IsOutdated = Known.Revision != Mirror.revision(Table);
+  const auto Found = Known.BySince.find(Since);
+  if (!IsOutdated && Found != Known.BySince.end())
+    return Found->second;
+  if (IsOutdated || Known.BySince.size() >= MaxCachedUpdates)
     Known.BySince.clear();
-    Known.Revision = Mirror.revision(Table);
-  }
-  const auto [Found, IsNew] = Known.BySince.try_emplace(Since);
-  encoded_update &Encoded = Found->second;
-  if (!IsNew)
-    return Encoded;
+  Known.Revision = Mirror.revision(Table);
+  encoded_update &Encoded = Known.BySince[Since];
   Encoded.Update = Mirror.updateSince(Table, Since);
   addRows(std::exchange(Encoded.Update.Rows, {}), Encoded.Rows);
   Encoded.Bytes = Encoded.Rows.ByteSizeLong();
--- a/src/gateway/store_relay.h
+++ b/src/gateway/store_relay.h
@@ -51,6 +51,12 @@
     agatedale::gateway::PackedNews Packed; ///< Only rows; many.
   };
 
+  /// The encoded updates of one revision of a table, by the peers' position.
+  struct table_cache {
+    std::uint64_t Revision = 0;
+    std::map<std::uint64_t, encoded_update> BySince;
+  };
+
   explicit store_relay(const snapshot_limiter &Limiter)
       : SnapshotLimiter(Limiter) {}
 
@@ -60,11 +66,6 @@
   std::map<std::string, table_positions> PeerPositions;
   snapshot_limiter SnapshotLimiter;
   update_pacer Pacer;
-  /// Valid for the table's revision; cleared when it changes.
-  struct table_cache {
-    std::uint64_t Revision = 0;
-    std::map<std::uint64_t, encoded_update> BySince;
-  };
   std::array<table_cache, AllStoreTables.size()> Cache;
 };
 
