--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -434,10 +434,9 @@
     return;
   const auto At = std::chrono::duration_cast<milliseconds>(
       std::chrono::steady_clock::now() - Begin);
-  Unanswered +=
-      fmt::format("after {} ms: {} through {}: status {}, verdict '{}', {}\n",
-                  At.count(), Method, Vm, Answer.Status, Answer.Verdict,
-                  Answer.Reason);
+  Unanswered += fmt::format(
+      "after {} ms: {} through {}: status {}, verdict '{}', {}\n", At.count(),
+      Method, Vm, Answer.Status, Answer.Verdict, Answer.Reason);
 }
 
 std::string background_load::unansweredRequests() {
--- a/tests/unit/registration_pacer_test.cpp
+++ b/tests/unit/registration_pacer_test.cpp
@@ -41,6 +41,7 @@
   std::mt19937_64 Random(1);
   std::uniform_real_distribution<double> Draw(0, 1);
   std::vector<duration> Delays;
+  Delays.reserve(static_cast<std::size_t>(Vms));
   for (int I = 0; I < Vms; ++I)
     Delays.push_back(Next(Draw(Random)));
   return Delays;
--- a/tests/unit/urgent_retries_test.cpp
+++ b/tests/unit/urgent_retries_test.cpp
@@ -42,6 +42,7 @@
     Settings.Hedging = false;
     Settings.RetryPercent = 18;
     std::vector<backend_server> Servers;
+    Servers.reserve(ServerCount);
     for (int I = 0; I < ServerCount; ++I)
       Servers.push_back({"s" + std::to_string(I), "desk", "a", "", false});
     Group.emplace(moveValue(server_group::create(Settings, Servers)));
--- a/tests/unit/vm_directory_test.cpp
+++ b/tests/unit/vm_directory_test.cpp
@@ -215,6 +215,7 @@
 BOOST_AUTO_TEST_CASE(EveryVmOfAZoneHasARankOfItsOwnAsAReader) {
   const std::vector<entry_vm> All = zoneOf(8);
   std::vector<int> Ranks;
+  Ranks.reserve(All.size());
   for (const entry_vm &Vm : All)
     Ranks.push_back(directory(Vm, All).readerRank(false, Start));
   std::sort(Ranks.begin(), Ranks.end());
