Reads are named by field; a VM whose row has another address registers at once

A VM that replaces another of the same name at a new address cannot be reached through the former row, so its registration does not wait.

--- a/include/agatedale/registration_pacer.h
+++ b/include/agatedale/registration_pacer.h
@@ -38,14 +38,14 @@
     return share(BootstrapSpread, Draw);
   }
 
-  /// Returns the delay of the first write of a VM that starts later and finds
-  /// \p Listed VMs in the list. A VM whose former row is still there can be
-  /// reached by the others, and many of them may start at once.
-  duration delayOfRestart(bool HasFormerRow, std::size_t Listed,
+  /// Returns the delay of the first write of a VM that starts later, in a fleet
+  /// of \p Vms VMs. One whose former row has its address is reached by the
+  /// others through that row, and many of them may start at once.
+  duration delayOfRestart(bool IsReachable, std::size_t Vms,
                           double Draw) const {
-    if (!HasFormerRow)
+    if (!IsReachable)
       return duration::zero();
-    const double Seconds = static_cast<double>(Listed) / WritesPerSecond;
+    const double Seconds = static_cast<double>(Vms) / WritesPerSecond;
     return share(std::chrono::duration_cast<duration>(
                      std::chrono::duration<double>(Seconds)),
                  Draw);
--- a/src/core/store_follower.cpp
+++ b/src/core/store_follower.cpp
@@ -23,10 +23,10 @@
   // read the whole list.
   if (Mirror.position(store_table::Vms) == 0) {
     if (!IsZoneKnown)
-      return store_read{store_table::Vms, false, true, 0, {}};
+      return store_read{.Table = store_table::Vms, .IsOwnZoneOnly = true};
     if (AwaitsInitialSnapshot)
       return std::nullopt;
-    return store_read{store_table::Vms, true, false, 0, {}};
+    return store_read{.Table = store_table::Vms, .IsSnapshot = true};
   }
   std::uint64_t Newest = 0;
   for (const store_table Table : AllStoreTables) {
@@ -34,7 +34,7 @@
     if (NeverRead && AwaitsInitialSnapshot)
       return std::nullopt;
     if (NeverRead || NeedsSnapshot.contains(Table))
-      return store_read{Table, true, false, 0, {}};
+      return store_read{.Table = Table, .IsSnapshot = true};
     Newest = std::max(Newest, Mirror.position(Table));
   }
   const duration MaxAge =
@@ -43,13 +43,14 @@
     return std::nullopt;
   for (const store_table Table : AllStoreTables) {
     if (Mirror.position(Table) < Newest)
-      return store_read{Table, false, false, Mirror.position(Table), {}};
+      return store_read{.Table = Table, .After = Mirror.position(Table)};
   }
   // Only the reader long-polls; other VMs need just the current version.
   const auto Wait =
       Rank == 0 ? Settings.LongPollWait : std::chrono::milliseconds(0);
-  return store_read{store_table::Operators, false, false,
-                    Mirror.position(store_table::Operators), Wait};
+  return store_read{.Table = store_table::Operators,
+                    .After = Mirror.position(store_table::Operators),
+                    .Wait = Wait};
 }
 
 void store_follower::onAnswer(store_table Table, bool IsSnapshot) {
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -381,12 +381,14 @@
   // The list may be older than the row.
   const bool IsOlder = RegisteredAt && FleetState->mirror().position(
                                            store_table::Vms) < *RegisteredAt;
-  if ((!HasRow || Own->Id != Self) && !IsOlder)
-    scheduleRegistration(
-        RegisteredAt
-            ? duration::zero()
-            : RegistrationPacer.delayOfRestart(
-                  HasRow, Vms.zoneSize() * Settings.Zones.size(), drawShare()));
+  if ((!HasRow || Own->Id != Self) && !IsOlder) {
+    const bool IsReachable = HasRow && Own->Ip == Settings.Ip;
+    const std::size_t FleetSize = Vms.zoneSize() * Settings.Zones.size();
+    scheduleRegistration(RegisteredAt
+                             ? duration::zero()
+                             : RegistrationPacer.delayOfRestart(
+                                   IsReachable, FleetSize, drawShare()));
+  }
   scheduleHeartbeats();
 }
 
