Slow links make server groups smaller

The links of six owners were full from second 4 to 30 (peer-unresponsive 590 times), with heartbeats and the configuration behind the bodies. Change: rows of VMs tell the link, and a group has at most 0.4 servers per Mbit/s of the usual VM's link: 4 at 10 Mbit/s, 8 as before at 20, 16 on sites of 0.2 core and 1,000 Mbit/s. Ruled out: memory for bodies (no refusal as memory-full). Tests: server_partition_test SlowLinksMakeGroupsSmaller and UploadsTakeAtMostHalfOfAnOwnersLink (both failed before).

--- a/include/agatedale/entry_vm.h
+++ b/include/agatedale/entry_vm.h
@@ -32,10 +32,11 @@
   std::string Ip;
   std::string Zone;
   std::string Region;
-  bool Ready = false;   ///< Has a configuration and serves requests.
-  bool Leaving = false; ///< Shutting down; accepts no new work and is not
-                        ///< chosen as an owner.
-  double Capacity = 1;  ///< In cores; the weight in hashing.
+  bool Ready = false;        ///< Has a configuration and serves requests.
+  bool Leaving = false;      ///< Shutting down; accepts no new work and is not
+                             ///< chosen as an owner.
+  double Capacity = 1;       ///< In cores; the weight in hashing.
+  double LinkMegabits = 1e6; ///< Speed of its link, per second.
 };
 
 /// Returns the weight of \p Vm for \p Subject in rendezvous hashing. The VM
--- a/include/agatedale/server_partition.h
+++ b/include/agatedale/server_partition.h
@@ -20,9 +20,9 @@
 partitionServers(std::span<const backend_server> Servers,
                  std::size_t MaxServers);
 
-/// Returns the maximum number of servers in a group that an entry VM of the
-/// usual capacity of \p Vms can dispatch for: the capacity at which half of the
-/// fleet's capacity is in VMs of this or a larger capacity. One VM of another
+/// Returns the maximum number of servers in a group that the usual entry VM of
+/// \p Vms can dispatch for, with its cores and its link: half of the fleet's
+/// capacity is in VMs that can dispatch for as many or more. One VM of another
 /// size does not change it.
 std::size_t maxGroupServers(std::span<const entry_vm> Vms);
 
--- a/src/core/server_partition.cpp
+++ b/src/core/server_partition.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 #include <string>
 
 namespace agatedale {
@@ -19,6 +18,10 @@
 /// Servers that an owner can dispatch for per core of its capacity.
 constexpr double ServersPerCore = 80;
 
+/// Servers that an owner can dispatch for per Mbit/s of its link, which carries
+/// the body of each request to the owner and on to the server.
+constexpr double ServersPerMegabit = 0.4;
+
 constexpr std::size_t MinGroupServers = 4;
 
 /// Returns the part with the highest weight for \p Server that has space.
@@ -69,25 +72,30 @@
 }
 
 std::size_t maxGroupServers(std::span<const entry_vm> Vms) {
-  std::vector<double> Capacities;
-  Capacities.reserve(Vms.size());
-  for (const entry_vm &Vm : Vms)
-    Capacities.push_back(Vm.Capacity);
-  std::sort(Capacities.begin(), Capacities.end());
-  double Remaining =
-      std::accumulate(Capacities.begin(), Capacities.end(), 0.0) / 2;
+  if (Vms.empty())
+    return MaxGroupServers;
+  // The servers that each VM can dispatch for, with its capacity.
+  std::vector<std::pair<double, double>> Sizes;
+  Sizes.reserve(Vms.size());
+  double Remaining = 0;
+  for (const entry_vm &Vm : Vms) {
+    Sizes.emplace_back(std::min(ServersPerCore * Vm.Capacity,
+                                ServersPerMegabit * Vm.LinkMegabits),
+                       Vm.Capacity);
+    Remaining += Vm.Capacity / 2;
+  }
+  std::sort(Sizes.begin(), Sizes.end());
   double Usual = 0;
-  for (const double Capacity : Capacities) {
-    Usual = Capacity;
+  for (const auto &[Servers, Capacity] : Sizes) {
+    Usual = Servers;
     Remaining -= Capacity;
     if (Remaining <= 0)
       break;
   }
-  if (Capacities.empty())
-    return MaxGroupServers;
-  const auto Servers =
-      static_cast<std::size_t>(std::lround(ServersPerCore * Usual));
-  return std::clamp(Servers, MinGroupServers, MaxGroupServers);
+  // A group of MaxGroupServers is enough for any VM.
+  Usual = std::min(Usual, static_cast<double>(MaxGroupServers));
+  return std::max(static_cast<std::size_t>(std::lround(Usual)),
+                  MinGroupServers);
 }
 
 } // namespace agatedale
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -68,6 +68,8 @@
 constexpr duration PeerShutdownGrace = std::chrono::milliseconds(100);
 constexpr duration PeerShutdownPoll = std::chrono::milliseconds(5);
 
+constexpr double BytesPerMegabit = 1e6 / 8;
+
 constexpr int StatusOk = 200;
 constexpr int StatusUnavailable = 503;
 
@@ -85,6 +87,7 @@
   Self.Zone = Settings.Zone;
   Self.Region = Settings.Region;
   Self.Capacity = Settings.Capacity;
+  Self.LinkMegabits = Settings.LinkBytesPerSecond / BytesPerMegabit;
   return Self;
 }
 
--- a/tests/unit/server_partition_test.cpp
+++ b/tests/unit/server_partition_test.cpp
@@ -54,6 +54,15 @@
   return Vms;
 }
 
+/// Returns a zone of two large VMs and many with a slow link.
+std::vector<entry_vm> zoneWithLinks(double SmallMegabits) {
+  const std::vector<std::pair<int, double>> Classes{{2, 0.5}, {35, 0.1}};
+  std::vector<entry_vm> Vms = vmsOf(Classes);
+  for (entry_vm &Vm : Vms)
+    Vm.LinkMegabits = Vm.Capacity < 0.5 ? SmallMegabits : 200;
+  return Vms;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(server_partition_test)
@@ -113,6 +122,28 @@
   BOOST_TEST(maxGroupServers(vmsOf(Large)) == MaxGroupServers);
 }
 
+BOOST_AUTO_TEST_CASE(SlowLinksMakeGroupsSmaller) {
+  BOOST_TEST(maxGroupServers(zoneWithLinks(10)) == 4U);
+  BOOST_TEST(maxGroupServers(zoneWithLinks(20)) == 8U);
+  BOOST_TEST(maxGroupServers(zoneWithLinks(1000)) == 8U);
+}
+
+// Eight servers of a zone get 18 uploads a second with 60 KB each. One group
+// of all of them takes 8.6 Mbit/s of its owner's link of 10, in which requests,
+// heartbeats and configurations get stuck behind the bodies.
+BOOST_AUTO_TEST_CASE(UploadsTakeAtMostHalfOfAnOwnersLink) {
+  constexpr double LinkMegabits = 10;
+  constexpr double UploadMegabits = 18 * 60'000 * 8 / 1e6;
+  const auto Servers = serversNamed(8);
+  const auto Parts =
+      partitionServers(Servers, maxGroupServers(zoneWithLinks(LinkMegabits)));
+  for (const auto &Part : Parts) {
+    const double Share =
+        static_cast<double>(Part.size()) / static_cast<double>(Servers.size());
+    BOOST_TEST(Share * UploadMegabits <= LinkMegabits / 2);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(OneVmOfAnotherSizeDoesNotChangeTheSize) {
   const std::vector<std::pair<int, double>> OneSmall{{20, 0.4}, {1, 0.05}};
   BOOST_TEST(maxGroupServers(vmsOf(OneSmall)) == 32U);
