Peers: log connections that end with requests running

Callers saw 504 'owner-lost' at planned stops. The lines peer-call-failed and caller-disconnected do not say why the connection ended, so that a list change, an unresponsive VM and a VM that ended could not be told apart.

peer-requests-lost (the side that called: VM, number of requests, why: not listed, new address, unresponsive, ended by the peer, stopping) and peer-requests-cancelled (the side that was called: address, number) are logged once a connection, and only if requests were running.

--- a/src/gateway/peer_transport.cpp
+++ b/src/gateway/peer_transport.cpp
@@ -83,7 +83,7 @@
     return Peer;
   if (Peer.Connection) {
     Peer.Connection->close();
-    failCalls(Peer);
+    failCalls(Vm.Id.Name, Peer, "new address");
   }
   Peer = peer();
   Peer.Address = std::move(Address);
@@ -148,12 +148,28 @@
   const auto Found = Peers.find(Name);
   if (Found == Peers.end() || Found->second.Connection.get() != Connection)
     return;
-  failCalls(Found->second);
+  failCalls(Name, Found->second, "ended by the peer");
   Found->second.Connection = nullptr;
 }
 
+/// Logs that a connection ends, and why, if requests were sent over it that are
+/// not answered.
+void peer_transport::logLostRequests(const std::string &Name, const peer &Peer,
+                                     std::string_view Why) {
+  const auto Lost = std::count_if(
+      Peer.Calls.begin(), Peer.Calls.end(), [](const auto &Entry) {
+        const outgoing_call &Call = *Entry.second;
+        return Call.Sent && Call.Kind == peer_message_kind::Forward;
+      });
+  if (Lost > 0)
+    logLine(log_level::Warning, "peer-requests-lost",
+            {{"vm", Name}, {"requests", Lost}, {"why", Why}});
+}
+
 /// Fails the calls that were sent. Those that wait for a connection wait on.
-void peer_transport::failCalls(peer &Peer) {
+void peer_transport::failCalls(const std::string &Name, peer &Peer,
+                               std::string_view Why) {
+  logLostRequests(Name, Peer, Why);
   const auto Calls = Peer.Calls;
   for (const auto &[Number, Call] : Calls) {
     if (Call->Sent)
@@ -300,21 +316,21 @@
       connect(Name, Peer);
     return;
   }
-  const auto Close = [&] {
+  const auto Close = [&](std::string_view Why) {
     Peer.Connection->close();
-    failCalls(Peer);
+    failCalls(Name, Peer, Why);
     Peer.Connection = nullptr;
   };
   if (!Peer.Connection->isConnected()) {
     if (Now - Peer.ConnectingSince >= ConnectTimeout)
-      Close();
+      Close("not connected");
     return;
   }
   const time_point ReceivedAt = Peer.Connection->lastReceivedAt();
   const bool IsPinging = Peer.PingSentAt > ReceivedAt;
   if (IsPinging && Now - Peer.PingSentAt >= PingTimeout) {
     logLine(log_level::Warning, "peer-unresponsive", {{"vm", Name}});
-    Close();
+    Close("unresponsive");
     return;
   }
   if (IsPinging || Peer.Calls.empty() || Now - ReceivedAt < PingInterval)
@@ -331,6 +347,7 @@
   std::erase_if(Peers, [&](const auto &Entry) {
     if (Names.contains(Entry.first))
       return false;
+    logLostRequests(Entry.first, Entry.second, "not listed");
     for (const auto &[Number, Call] : Entry.second.Calls)
       Lost.push_back(Call);
     if (Entry.second.Connection)
@@ -345,6 +362,7 @@
   Stopping = true;
   std::vector<outgoing_call_ptr> Running;
   for (const auto &[Name, Peer] : Peers) {
+    logLostRequests(Name, Peer, "stopping");
     for (const auto &[Number, Call] : Peer.Calls)
       Running.push_back(Call);
   }
@@ -375,6 +393,7 @@
 
 void peer_transport::accept(const Poco::Net::StreamSocket &Accepting) {
   const auto From = std::make_shared<incoming_peer>();
+  From->Ip = Accepting.peerAddress().host().toString();
   const std::weak_ptr<bool> Weak = Alive;
   const std::weak_ptr<incoming_peer> WeakFrom = From;
   peer_connection::handlers ConnectionHandlers;
@@ -482,6 +501,11 @@
 void peer_transport::onIncomingEnded(const incoming_peer_ptr &From) {
   const auto Tickets = std::exchange(From->Tickets, {});
   Accepted.erase(From);
+  if (!Tickets.empty())
+    logLine(log_level::Warning, "peer-requests-cancelled",
+            {{"ip", From->Ip},
+             {"requests", Tickets.size()},
+             {"why", "connection ended"}});
   for (const auto &[Call, Ticket] : Tickets)
     Handlers.OnCancel(Ticket);
 }
--- a/src/gateway/peer_transport.h
+++ b/src/gateway/peer_transport.h
@@ -115,6 +115,7 @@
   };
 
   struct incoming_peer {
+    std::string Ip;
     std::shared_ptr<peer_connection> Connection;
     std::map<std::uint64_t, forward_ticket> Tickets; ///< By call number.
   };
@@ -127,7 +128,9 @@
   void connect(const std::string &Name, peer &Peer);
   void onConnected(const std::string &Name);
   void onEnded(const std::string &Name, const peer_connection *Connection);
-  void failCalls(peer &Peer);
+  static void logLostRequests(const std::string &Name, const peer &Peer,
+                              std::string_view Why);
+  void failCalls(const std::string &Name, peer &Peer, std::string_view Why);
   void onReply(const std::string &Name, std::uint64_t Number,
                std::string_view Message);
   outgoing_call_ptr startCall(const entry_vm &Vm, peer_message_kind Kind,
