Peers: a VM that leaves the list answers the requests it was sent

Cause: a VM deletes its row at SIGTERM and serves on for seconds. The other VMs closed their connection to it as soon as the list changed, so that every request forwarded to it failed at once; the owner took the end of the connection for a cancel and cut what its servers ran. A row with another address did the same at the next call to the VM. The class of fault: a change of the list, which only says where new work goes, ended running work.

Now such a connection drains: it takes no further calls and no heartbeats, and is closed after its last call. Requests that were not sent yet fail as NotSent at once and go to the next owner. Each call is bounded by its own timeout, and a VM that died is found by the ping as before, as pings depend on open calls and not on the list. A VM that is listed again at the same address keeps its connection, so that there is at most one connection for an address. Calls and connection handlers refer to the peer itself instead of looking it up by the VM's name, which two connections can share now.

A stopped transport accepts no call any more (NotSent); before, such a call was dropped without a reply when the transport was destroyed.

--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -373,7 +373,7 @@
 void gateway_node::impl::onVmListChanged() {
   const std::vector<entry_vm> Listed = FleetState->listedVms();
   Vms.setListed(Listed, bootNow());
-  Transport->disconnectAllExcept(Vms.otherVms());
+  Transport->retainOnly(Vms.otherVms());
   connectToOwners();
   const vm_id Self = Vms.self().Id;
   const auto Own =
--- a/src/gateway/peer_transport.cpp
+++ b/src/gateway/peer_transport.cpp
@@ -64,10 +64,10 @@
 peer_transport::~peer_transport() {
   Loop.cancel(CheckTimer);
   Loop.unwatch(Socket);
-  for (const auto &[Name, Peer] : Peers) {
-    if (Peer.Connection)
-      Peer.Connection->close();
-    for (const auto &[Number, Call] : Peer.Calls) {
+  for (const peer_ptr &Peer : allPeers()) {
+    if (Peer->Connection)
+      Peer->Connection->close();
+    for (const auto &[Number, Call] : Peer->Calls) {
       Loop.cancel(Call->Timer);
       Loop.cancel(Call->ConnectTimer);
     }
@@ -76,64 +76,122 @@
     From->Connection->close();
 }
 
-peer_transport::peer &peer_transport::peerFor(const entry_vm &Vm) {
-  peer &Peer = Peers[Vm.Id.Name];
-  std::string Address = fmt::format("{}:{}", Vm.Ip, Port);
-  if (Peer.Address == Address)
-    return Peer;
-  if (Peer.Connection) {
-    Peer.Connection->close();
-    failCalls(Vm.Id.Name, Peer, "new address");
+std::string peer_transport::addressOf(const entry_vm &Vm) const {
+  return fmt::format("{}:{}", Vm.Ip, Port);
+}
+
+peer_transport::peer_ptr peer_transport::peerFor(const entry_vm &Vm) {
+  const std::string Address = addressOf(Vm);
+  peer_ptr &Current = Peers[Vm.Id.Name];
+  if (Current && Current->Address == Address)
+    return Current;
+  const peer_ptr Former =
+      std::exchange(Current, takeDraining(Vm.Id.Name, Address));
+  if (!Current) {
+    Current = std::make_shared<peer>();
+    Current->Vm = Vm.Id.Name;
+    Current->Address = Address;
   }
-  Peer = peer();
-  Peer.Address = std::move(Address);
+  const peer_ptr Peer = Current;
+  if (Former)
+    drain(Former, "new address");
   return Peer;
 }
 
-void peer_transport::connect(const std::string &Name, peer &Peer) {
+/// Returns the VM if its connection is still draining, so that a VM that is
+/// listed again keeps it; otherwise null.
+peer_transport::peer_ptr
+peer_transport::takeDraining(const std::string &Vm,
+                             const std::string &Address) {
+  const auto Found =
+      std::find_if(Draining.begin(), Draining.end(), [&](const peer_ptr &Peer) {
+        return Peer->Vm == Vm && Peer->Address == Address;
+      });
+  if (Found == Draining.end())
+    return nullptr;
+  const peer_ptr Peer = *Found;
+  Draining.erase(Found);
+  Peer->IsDraining = false;
+  return Peer;
+}
+
+/// Closes the connection to a VM that gets no further calls once its sent calls
+/// are done. Each of them ends by its timeout at the latest.
+void peer_transport::drain(const peer_ptr &Peer, std::string_view Why) {
+  Peer->IsDraining = true;
+  Draining.insert(Peer);
+  if (const std::ptrdiff_t Waiting = sentRequests(*Peer); Waiting > 0)
+    logLine(log_level::Info, "peer-draining",
+            {{"vm", Peer->Vm}, {"requests", Waiting}, {"why", Why}});
+  const auto Calls = Peer->Calls;
+  for (const auto &[Number, Call] : Calls) {
+    if (!Call->Sent)
+      endCall(Call);
+  }
+  closeIfDrained(Peer);
+}
+
+void peer_transport::closeIfDrained(const peer_ptr &Peer) {
+  if (!Peer->IsDraining || !Peer->Calls.empty())
+    return;
+  Draining.erase(Peer);
+  if (Peer->Connection)
+    Peer->Connection->close();
+  Peer->Connection = nullptr;
+}
+
+/// Returns the VMs for new calls and those that are draining.
+std::vector<peer_transport::peer_ptr> peer_transport::allPeers() const {
+  std::vector<peer_ptr> All(Draining.begin(), Draining.end());
+  for (const auto &[Name, Peer] : Peers)
+    All.push_back(Peer);
+  return All;
+}
+
+void peer_transport::connect(const peer_ptr &Peer) {
   const time_point Now = bootNow();
-  if (Peer.Connection || Now < Peer.RetryAt)
+  if (Peer->Connection || Now < Peer->RetryAt)
     return;
-  Peer.ConnectingSince = Now;
-  Peer.RetryDelay =
-      std::clamp(2 * Peer.RetryDelay, InitialRetryDelay, MaxRetryDelay);
-  Peer.RetryAt = Now + Peer.RetryDelay;
+  Peer->ConnectingSince = Now;
+  Peer->RetryDelay =
+      std::clamp(2 * Peer->RetryDelay, InitialRetryDelay, MaxRetryDelay);
+  Peer->RetryAt = Now + Peer->RetryDelay;
   const std::weak_ptr<bool> Weak = Alive;
+  const std::weak_ptr<peer> WeakPeer = Peer;
   // The handlers run only while the connection exists.
   const auto Connection = std::make_shared<std::weak_ptr<peer_connection>>();
   peer_connection::handlers ConnectionHandlers;
-  ConnectionHandlers.Connected = [this, Weak, Name] {
-    if (!Weak.expired())
-      onConnected(Name);
-  };
-  ConnectionHandlers.Received = [this, Weak, Name](peer_message_kind Kind,
-                                                   std::uint64_t Call,
-                                                   std::string_view Message) {
-    const bool IsReply = Kind == peer_message_kind::HeartbeatReply ||
-                         Kind == peer_message_kind::ForwardReply;
-    if (!Weak.expired() && IsReply)
-      onReply(Name, Call, Message);
+  ConnectionHandlers.Connected = [this, Weak, WeakPeer] {
+    const peer_ptr To = WeakPeer.lock();
+    if (!Weak.expired() && To)
+      onConnected(*To);
   };
-  ConnectionHandlers.Ended = [this, Weak, Name, Connection] {
-    if (!Weak.expired())
-      onEnded(Name, Connection->lock().get());
+  ConnectionHandlers.Received =
+      [this, Weak, WeakPeer](peer_message_kind Kind, std::uint64_t Call,
+                             std::string_view Message) {
+        const bool IsReply = Kind == peer_message_kind::HeartbeatReply ||
+                             Kind == peer_message_kind::ForwardReply;
+        const peer_ptr From = WeakPeer.lock();
+        if (!Weak.expired() && From && IsReply)
+          onReply(*From, Call, Message);
+      };
+  ConnectionHandlers.Ended = [this, Weak, WeakPeer, Connection] {
+    const peer_ptr From = WeakPeer.lock();
+    if (!Weak.expired() && From)
+      onEnded(*From, Connection->lock().get());
   };
   try {
-    Peer.Connection =
-        peer_connection::connect(Loop, Poco::Net::SocketAddress(Peer.Address),
+    Peer->Connection =
+        peer_connection::connect(Loop, Poco::Net::SocketAddress(Peer->Address),
                                  std::move(ConnectionHandlers));
-    *Connection = Peer.Connection;
+    *Connection = Peer->Connection;
   } catch (const Poco::Exception &Failure) {
     logLine(log_level::Error, "peer-address-refused",
-            {{"vm", Name}, {"why", Failure.displayText()}});
+            {{"vm", Peer->Vm}, {"why", Failure.displayText()}});
   }
 }
 
-void peer_transport::onConnected(const std::string &Name) {
-  const auto Found = Peers.find(Name);
-  if (Found == Peers.end())
-    return;
-  peer &Peer = Found->second;
+void peer_transport::onConnected(peer &Peer) {
   Peer.RetryDelay = duration::zero();
   Peer.PingSentAt = time_point{};
   const auto Calls = Peer.Calls;
@@ -143,33 +201,33 @@
   }
 }
 
-void peer_transport::onEnded(const std::string &Name,
-                             const peer_connection *Connection) {
-  const auto Found = Peers.find(Name);
-  if (Found == Peers.end() || Found->second.Connection.get() != Connection)
+void peer_transport::onEnded(peer &Peer, const peer_connection *Connection) {
+  if (Peer.Connection.get() != Connection)
     return;
-  failCalls(Name, Found->second, "ended by the peer");
-  Found->second.Connection = nullptr;
+  failCalls(Peer, "ended by the peer");
+  Peer.Connection = nullptr;
 }
 
-/// Logs that a connection ends, and why, if requests were sent over it that are
-/// not answered.
-void peer_transport::logLostRequests(const std::string &Name, const peer &Peer,
-                                     std::string_view Why) {
-  const auto Lost = std::count_if(
+/// Returns the number of requests that were sent and are not answered.
+std::ptrdiff_t peer_transport::sentRequests(const peer &Peer) {
+  return std::count_if(
       Peer.Calls.begin(), Peer.Calls.end(), [](const auto &Entry) {
         const outgoing_call &Call = *Entry.second;
         return Call.Sent && Call.Kind == peer_message_kind::Forward;
       });
-  if (Lost > 0)
+}
+
+/// Logs that a connection ends, and why, if requests were sent over it that are
+/// not answered.
+void peer_transport::logLostRequests(const peer &Peer, std::string_view Why) {
+  if (const std::ptrdiff_t Lost = sentRequests(Peer); Lost > 0)
     logLine(log_level::Warning, "peer-requests-lost",
-            {{"vm", Name}, {"requests", Lost}, {"why", Why}});
+            {{"vm", Peer.Vm}, {"requests", Lost}, {"why", Why}});
 }
 
 /// Fails the calls that were sent. Those that wait for a connection wait on.
-void peer_transport::failCalls(const std::string &Name, peer &Peer,
-                               std::string_view Why) {
-  logLostRequests(Name, Peer, Why);
+void peer_transport::failCalls(const peer &Peer, std::string_view Why) {
+  logLostRequests(Peer, Why);
   const auto Calls = Peer.Calls;
   for (const auto &[Number, Call] : Calls) {
     if (Call->Sent)
@@ -178,9 +236,9 @@
 }
 
 bool peer_transport::isConnected(const entry_vm &Vm) {
-  peer &Peer = peerFor(Vm);
-  connect(Vm.Id.Name, Peer);
-  return Peer.Connection && Peer.Connection->isConnected();
+  const peer_ptr Peer = peerFor(Vm);
+  connect(Peer);
+  return Peer->Connection && Peer->Connection->isConnected();
 }
 
 peer_transport::outgoing_call_ptr
@@ -188,15 +246,23 @@
                           std::string Message, duration Timeout) {
   auto Call = std::make_shared<outgoing_call>();
   Call->Number = ++LastCall;
-  Call->Peer = Vm.Id.Name;
   Call->Kind = Kind;
   Call->Message = std::move(Message);
+  if (Stopping) {
+    const std::weak_ptr<bool> Weak = Alive;
+    Loop.post([this, Weak, Call] {
+      if (!Weak.expired())
+        endCall(Call);
+    });
+    return Call;
+  }
   const bool IsUp = isConnected(Vm);
-  peer &Peer = peerFor(Vm);
-  Peer.Calls.emplace(Call->Number, Call);
+  const peer_ptr Peer = peerFor(Vm);
+  Call->Peer = Peer;
+  Peer->Calls.emplace(Call->Number, Call);
   Call->Timer = Loop.after(Timeout, [this, Call] { endCall(Call); });
   if (IsUp)
-    sendCall(Peer, Call);
+    sendCall(*Peer, Call);
   return Call;
 }
 
@@ -208,11 +274,10 @@
 
 /// Ends a call that gets no reply and tells the peer.
 void peer_transport::endCall(const outgoing_call_ptr &Call) {
-  const auto Found = Peers.find(Call->Peer);
-  const bool HasPeer = Found != Peers.end() && Found->second.Connection;
+  const peer_ptr Peer = Call->Peer.lock();
   bool WasDelivered = Call->Sent;
-  if (Call->Sent && HasPeer) {
-    peer_connection &Connection = *Found->second.Connection;
+  if (Call->Sent && Peer && Peer->Connection) {
+    peer_connection &Connection = *Peer->Connection;
     WasDelivered = !Connection.dropUnsent(Call->Kind, Call->Number);
     const bool TellsPeer =
         Call->Kind == peer_message_kind::Forward || !WasDelivered;
@@ -225,9 +290,10 @@
 
 void peer_transport::finish(const outgoing_call_ptr &Call,
                             const std::string *Reply, peer_failure Failure) {
-  const auto Found = Peers.find(Call->Peer);
-  if (Found != Peers.end())
-    Found->second.Calls.erase(Call->Number);
+  if (const peer_ptr Peer = Call->Peer.lock()) {
+    Peer->Calls.erase(Call->Number);
+    closeIfDrained(Peer);
+  }
   Loop.cancel(Call->Timer);
   Loop.cancel(Call->ConnectTimer);
   const auto Done = std::exchange(Call->Done, nullptr);
@@ -241,21 +307,17 @@
   Loop.post([Done, Failure] { Done(nullptr, Failure); });
 }
 
-void peer_transport::onReply(const std::string &Name, std::uint64_t Number,
+void peer_transport::onReply(const peer &Peer, std::uint64_t Number,
                              std::string_view Message) {
-  const auto Found = Peers.find(Name);
-  if (Found == Peers.end())
-    return;
-  const auto Call = Found->second.Calls.find(Number);
-  if (Call == Found->second.Calls.end())
+  const auto Call = Peer.Calls.find(Number);
+  if (Call == Peer.Calls.end())
     return;
   const outgoing_call_ptr Answered = Call->second;
   // The peer has refused the request before it had the whole of it.
   const bool WasCutShort =
-      Found->second.Connection &&
-      Found->second.Connection->dropUnsent(Answered->Kind, Number);
+      Peer.Connection && Peer.Connection->dropUnsent(Answered->Kind, Number);
   if (WasCutShort)
-    Found->second.Connection->send(peer_message_kind::Cancel, Number, "");
+    Peer.Connection->send(peer_message_kind::Cancel, Number, "");
   const std::string Reply(Message);
   finish(Answered, &Reply, peer_failure::NoReply);
 }
@@ -291,7 +353,7 @@
               {{"why", "unreadable reply to a request"}});
     Done(IsReadable ? &Answer : nullptr, Failure);
   };
-  if (!Call->Sent)
+  if (!Call->Sent && !Stopping)
     Call->ConnectTimer =
         Loop.after(ForwardConnectTimeout, [this, Call] { endCall(Call); });
   const std::weak_ptr<bool> Weak = Alive;
@@ -305,65 +367,59 @@
 void peer_transport::checkConnections() {
   CheckTimer = Loop.after(CheckInterval, [this] { checkConnections(); });
   const time_point Now = bootNow();
-  for (auto &[Name, Peer] : Peers)
-    checkConnection(Name, Peer, Now);
+  for (const peer_ptr &Peer : allPeers())
+    checkConnection(Peer, Now);
 }
 
-void peer_transport::checkConnection(const std::string &Name, peer &Peer,
-                                     time_point Now) {
-  if (!Peer.Connection) {
-    if (!Peer.Calls.empty())
-      connect(Name, Peer);
+void peer_transport::checkConnection(const peer_ptr &Peer, time_point Now) {
+  if (!Peer->Connection) {
+    if (!Peer->Calls.empty())
+      connect(Peer);
     return;
   }
   const auto Close = [&](std::string_view Why) {
-    Peer.Connection->close();
-    failCalls(Name, Peer, Why);
-    Peer.Connection = nullptr;
+    Peer->Connection->close();
+    failCalls(*Peer, Why);
+    Peer->Connection = nullptr;
   };
-  if (!Peer.Connection->isConnected()) {
-    if (Now - Peer.ConnectingSince >= ConnectTimeout)
+  if (!Peer->Connection->isConnected()) {
+    if (Now - Peer->ConnectingSince >= ConnectTimeout)
       Close("not connected");
     return;
   }
-  const time_point ReceivedAt = Peer.Connection->lastReceivedAt();
-  const bool IsPinging = Peer.PingSentAt > ReceivedAt;
-  if (IsPinging && Now - Peer.PingSentAt >= PingTimeout) {
-    logLine(log_level::Warning, "peer-unresponsive", {{"vm", Name}});
+  const time_point ReceivedAt = Peer->Connection->lastReceivedAt();
+  const bool IsPinging = Peer->PingSentAt > ReceivedAt;
+  if (IsPinging && Now - Peer->PingSentAt >= PingTimeout) {
+    logLine(log_level::Warning, "peer-unresponsive", {{"vm", Peer->Vm}});
     Close("unresponsive");
     return;
   }
-  if (IsPinging || Peer.Calls.empty() || Now - ReceivedAt < PingInterval)
+  if (IsPinging || Peer->Calls.empty() || Now - ReceivedAt < PingInterval)
     return;
-  Peer.PingSentAt = Now;
-  Peer.Connection->send(peer_message_kind::Ping, 0, "");
-}
-
-void peer_transport::disconnectAllExcept(std::span<const entry_vm> Kept) {
-  std::set<std::string_view> Names;
-  for (const entry_vm &Vm : Kept)
-    Names.insert(Vm.Id.Name);
-  std::vector<outgoing_call_ptr> Lost;
-  std::erase_if(Peers, [&](const auto &Entry) {
-    if (Names.contains(Entry.first))
-      return false;
-    logLostRequests(Entry.first, Entry.second, "not listed");
-    for (const auto &[Number, Call] : Entry.second.Calls)
-      Lost.push_back(Call);
-    if (Entry.second.Connection)
-      Entry.second.Connection->close();
-    return true;
-  });
-  for (const outgoing_call_ptr &Call : Lost)
-    endCall(Call);
+  Peer->PingSentAt = Now;
+  Peer->Connection->send(peer_message_kind::Ping, 0, "");
+}
+
+void peer_transport::retainOnly(std::span<const entry_vm> Listed) {
+  std::map<std::string_view, const entry_vm *> ByName;
+  for (const entry_vm &Vm : Listed)
+    ByName.emplace(Vm.Id.Name, &Vm);
+  const auto Former = Peers;
+  for (const auto &[Name, Peer] : Former) {
+    const auto Found = ByName.find(Name);
+    if (Found != ByName.end() && addressOf(*Found->second) == Peer->Address)
+      continue;
+    Peers.erase(Name);
+    drain(Peer, Found == ByName.end() ? "not listed" : "new address");
+  }
 }
 
 void peer_transport::stop() {
   Stopping = true;
   std::vector<outgoing_call_ptr> Running;
-  for (const auto &[Name, Peer] : Peers) {
-    logLostRequests(Name, Peer, "stopping");
-    for (const auto &[Number, Call] : Peer.Calls)
+  for (const peer_ptr &Peer : allPeers()) {
+    logLostRequests(*Peer, "stopping");
+    for (const auto &[Number, Call] : Peer->Calls)
       Running.push_back(Call);
   }
   for (const outgoing_call_ptr &Call : Running)
--- a/src/gateway/peer_transport.h
+++ b/src/gateway/peer_transport.h
@@ -33,7 +33,8 @@
 
 /// Serves calls from peers and calls peers over TCP connections of the event
 /// loop. Each gateway keeps one connection to every peer that it calls; all
-/// calls share it.
+/// calls share it. The connection to a VM that is no longer listed, or that has
+/// another address, stays until the requests that were sent over it are done.
 ///
 ///   auto Transport = peer_transport::start(Loop, "10.0.0.1", 7720, Handlers);
 ///   valueOf(Transport)->forward(Peer, Message, Timeout, Done);
@@ -81,20 +82,28 @@
   /// Returns true if \p Peer is connected; otherwise starts to connect.
   bool isConnected(const entry_vm &Peer);
 
-  /// Closes the connections to all VMs but \p Peers.
-  void disconnectAllExcept(std::span<const entry_vm> Peers);
+  /// Disconnects from all VMs but \p Listed. Requests that were sent are waited
+  /// for as before; the others fail as NotSent at once.
+  void retainOnly(std::span<const entry_vm> Listed);
 
-  /// Refuses further requests from peers and ends all outgoing calls.
+  /// Returns the number of connections that are closed after their last call.
+  std::size_t drainingConnections() const { return Draining.size(); }
+
+  /// Refuses further requests from peers, ends all outgoing calls and sends no
+  /// others.
   void stop();
 
   /// Returns true if no reply to a peer waits for its connection.
   bool hasSentAllReplies() const;
 
 private:
+  struct peer;
+  using peer_ptr = std::shared_ptr<peer>;
+
   /// A call to a peer. Finishes exactly once, asynchronously.
   struct outgoing_call {
     std::uint64_t Number = 0;
-    std::string Peer;
+    std::weak_ptr<peer> Peer;
     peer_message_kind Kind = peer_message_kind::Heartbeat;
     std::string Message; ///< Until it is handed to the connection.
     bool Sent = false;
@@ -104,7 +113,9 @@
   };
   using outgoing_call_ptr = std::shared_ptr<outgoing_call>;
 
+  /// A VM at one address, with the calls to it.
   struct peer {
+    std::string Vm;
     std::string Address;
     std::shared_ptr<peer_connection> Connection; ///< Null if not connecting.
     time_point ConnectingSince{};
@@ -112,6 +123,7 @@
     duration RetryDelay{};
     time_point PingSentAt{};
     std::map<std::uint64_t, outgoing_call_ptr> Calls;
+    bool IsDraining = false;
   };
 
   struct incoming_peer {
@@ -124,14 +136,19 @@
   peer_transport(event_loop &Loop, std::uint16_t Port, handlers Handlers)
       : Loop(Loop), Handlers(std::move(Handlers)), Port(Port) {}
 
-  peer &peerFor(const entry_vm &Vm);
-  void connect(const std::string &Name, peer &Peer);
-  void onConnected(const std::string &Name);
-  void onEnded(const std::string &Name, const peer_connection *Connection);
-  static void logLostRequests(const std::string &Name, const peer &Peer,
-                              std::string_view Why);
-  void failCalls(const std::string &Name, peer &Peer, std::string_view Why);
-  void onReply(const std::string &Name, std::uint64_t Number,
+  std::string addressOf(const entry_vm &Vm) const;
+  peer_ptr peerFor(const entry_vm &Vm);
+  peer_ptr takeDraining(const std::string &Vm, const std::string &Address);
+  void drain(const peer_ptr &Peer, std::string_view Why);
+  void closeIfDrained(const peer_ptr &Peer);
+  std::vector<peer_ptr> allPeers() const;
+  void connect(const peer_ptr &Peer);
+  void onConnected(peer &Peer);
+  void onEnded(peer &Peer, const peer_connection *Connection);
+  static std::ptrdiff_t sentRequests(const peer &Peer);
+  static void logLostRequests(const peer &Peer, std::string_view Why);
+  void failCalls(const peer &Peer, std::string_view Why);
+  void onReply(const peer &Peer, std::uint64_t Number,
                std::string_view Message);
   outgoing_call_ptr startCall(const entry_vm &Vm, peer_message_kind Kind,
                               std::string Message, duration Timeout);
@@ -140,7 +157,7 @@
   void finish(const outgoing_call_ptr &Call, const std::string *Reply,
               peer_failure Failure);
   void checkConnections();
-  void checkConnection(const std::string &Name, peer &Peer, time_point Now);
+  void checkConnection(const peer_ptr &Peer, time_point Now);
   void acceptAll();
   void accept(const Poco::Net::StreamSocket &Socket);
   void onMessage(const incoming_peer_ptr &From, peer_message_kind Kind,
@@ -155,7 +172,8 @@
   std::uint16_t Port;
   std::shared_ptr<body_budget> Bodies;
   Poco::Net::ServerSocket Socket;
-  std::map<std::string, peer> Peers;
+  std::map<std::string, peer_ptr> Peers; ///< By VM, for new calls.
+  std::set<peer_ptr> Draining;           ///< With sent calls only.
   std::set<incoming_peer_ptr> Accepted;
   std::uint64_t LastCall = 0;
   event_loop::timer_id CheckTimer = 0;
--- a/tests/unit/peer_transport_test.cpp
+++ b/tests/unit/peer_transport_test.cpp
@@ -8,6 +8,8 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 using namespace agatedale;
 using std::chrono::milliseconds;
@@ -23,13 +25,15 @@
   return Next++;
 }
 
-entry_vm vmAt(const std::string &Ip) {
+entry_vm vmNamed(const std::string &Name, const std::string &Ip) {
   entry_vm Vm;
-  Vm.Id = {"vm-" + Ip, 1};
+  Vm.Id = {Name, 1};
   Vm.Ip = Ip;
   return Vm;
 }
 
+entry_vm vmAt(const std::string &Ip) { return vmNamed("vm-" + Ip, Ip); }
+
 wire_gateway::Forward requestOf(std::size_t BodyBytes) {
   wire_gateway::Forward Message;
   Message.set_id("id-1");
@@ -42,7 +46,8 @@
 struct transport_pair {
   using reply = std::function<void(wire_gateway::Forwarded)>;
 
-  transport_pair() : Loop(moveValue(event_loop::create())), Port(nextPort()) {
+  explicit transport_pair(const std::string &OwnerIp = "127.0.9.1")
+      : Loop(moveValue(event_loop::create())), Port(nextPort()) {
     peer_transport::handlers Handlers;
     Handlers.OnHeartbeat = [this](const wire_gateway::Heartbeat &Message) {
       HeartbeatAt = Requests;
@@ -53,7 +58,7 @@
       ++Requests;
       LastBodyBytes = Message.body().size();
       if (KeepsBack) {
-        Kept = std::move(Done);
+        Kept.push_back(std::move(Done));
         return forward_ticket(Requests);
       }
       wire_gateway::Forwarded Answer;
@@ -64,7 +69,7 @@
     };
     Handlers.OnCancel = [this](forward_ticket) { ++Cancelled; };
     Owner = moveValue(
-        peer_transport::start(*Loop, "127.0.9.1", Port, std::move(Handlers)));
+        peer_transport::start(*Loop, OwnerIp, Port, std::move(Handlers)));
     Caller = moveValue(peer_transport::start(*Loop, "127.0.9.2", Port, {}));
   }
 
@@ -84,8 +89,14 @@
 
   peer_transport::cancel_call forward(const wire_gateway::Forward &Message,
                                       milliseconds Timeout = CallTimeout) {
+    return forwardTo(vmAt("127.0.9.1"), Message, Timeout);
+  }
+
+  peer_transport::cancel_call forwardTo(const entry_vm &Vm,
+                                        const wire_gateway::Forward &Message,
+                                        milliseconds Timeout = CallTimeout) {
     return Caller->forward(
-        vmAt("127.0.9.1"), Message, Timeout,
+        Vm, Message, Timeout,
         [this](const wire_gateway::Forwarded *Reply, peer_failure Reason) {
           ++Finished;
           if (Reply)
@@ -95,6 +106,22 @@
         });
   }
 
+  /// Sends a request that the owner keeps back.
+  peer_transport::cancel_call sendKept(milliseconds Timeout = CallTimeout) {
+    KeepsBack = true;
+    const int Before = Requests;
+    auto Cancel = forward(requestOf(10), Timeout);
+    BOOST_REQUIRE(runUntil([&] { return Requests == Before + 1; }));
+    return Cancel;
+  }
+
+  void answerAllKept() {
+    wire_gateway::Forwarded Message;
+    Message.set_status(200);
+    for (const reply &Done : std::exchange(Kept, {}))
+      Done(Message);
+  }
+
   void connect() {
     BOOST_REQUIRE(
         runUntil([this] { return Caller->isConnected(vmAt("127.0.9.1")); }));
@@ -105,7 +132,7 @@
   std::unique_ptr<peer_transport> Owner;
   std::unique_ptr<peer_transport> Caller;
   bool KeepsBack = false;
-  reply Kept;
+  std::vector<reply> Kept;
   int Requests = 0;
   int HeartbeatAt = -1;
   int Cancelled = 0;
@@ -189,7 +216,7 @@
   Test.Caller.reset();
   BOOST_TEST(Test.runUntil([&] { return Test.Cancelled == 1; }));
   // A late answer finds no connection.
-  Test.Kept({});
+  Test.Kept.back()({});
 }
 
 BOOST_AUTO_TEST_CASE(RequestWithoutConnectionIsNotSent) {
@@ -221,6 +248,213 @@
   BOOST_TEST(toMillis(bootNow() - Begin) < 4000);
 }
 
+// A VM leaves the list at the begin of its stop and serves on.
+BOOST_AUTO_TEST_CASE(PeerThatLeavesTheListAnswersWhatItWasSent) {
+  transport_pair Test;
+  Test.sendKept();
+  Test.Caller->retainOnly({});
+  Test.Loop->after(milliseconds(300), [&Test] { Test.answerAllKept(); });
+  BOOST_TEST(Test.runUntil([&] { return Test.Finished == 1; }));
+  BOOST_TEST(Test.Answer.has_value());
+  BOOST_TEST(Test.Cancelled == 0);
+}
+
+BOOST_AUTO_TEST_CASE(PeerThatMovesAnswersAtItsFormerAddress) {
+  transport_pair Test("0.0.0.0");
+  Test.KeepsBack = true;
+  const entry_vm Before = vmNamed("vm-1", "127.0.9.1");
+  const entry_vm After = vmNamed("vm-1", "127.0.9.5");
+  Test.forwardTo(Before, requestOf(10));
+  BOOST_TEST(Test.runUntil([&] { return Test.Requests == 1; }));
+  Test.forwardTo(After, requestOf(10));
+  BOOST_TEST(Test.runUntil([&] { return Test.Requests == 2; }));
+  Test.answerAllKept();
+  BOOST_TEST(Test.runUntil([&] { return Test.Finished == 2; }));
+  BOOST_TEST(!Test.Failure.has_value());
+  BOOST_TEST(Test.Cancelled == 0);
+  BOOST_TEST(Test.Caller->drainingConnections() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(RowWithANewAddressAloneCutsNoRequest) {
+  transport_pair Test;
+  Test.sendKept();
+  const entry_vm After = vmNamed("vm-127.0.9.1", "127.0.9.5");
+  Test.Caller->retainOnly(std::span(&After, 1));
+  BOOST_TEST(Test.Caller->drainingConnections() == 1U);
+  Test.answerAllKept();
+  BOOST_TEST(Test.runUntil([&] { return Test.Finished == 1; }));
+  BOOST_TEST(Test.Answer.has_value());
+  BOOST_TEST(Test.Caller->drainingConnections() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(DrainedConnectionIsClosed) {
+  Poco::Net::ServerSocket Listener(Poco::Net::SocketAddress("127.0.9.6", 0));
+  auto Loop = moveValue(event_loop::create());
+  auto Caller = moveValue(
+      peer_transport::start(*Loop, "127.0.9.7", Listener.address().port(), {}));
+  bool Finished = false;
+  const auto Cancel = Caller->forward(
+      vmAt("127.0.9.6"), requestOf(10), CallTimeout,
+      [&](const wire_gateway::Forwarded *, peer_failure) { Finished = true; });
+  Loop->after(milliseconds(100), [&] { Caller->retainOnly({}); });
+  Loop->after(milliseconds(200), [&] {
+    BOOST_TEST(!Finished);
+    BOOST_TEST(Caller->drainingConnections() == 1U);
+    Cancel();
+    BOOST_TEST(Caller->drainingConnections() == 0U);
+  });
+  Loop->after(milliseconds(300), [&] { Loop->stop(); });
+  Loop->run();
+  BOOST_TEST(Finished);
+  Poco::Net::StreamSocket Accepted = Listener.acceptConnection();
+  Accepted.setReceiveTimeout(Poco::Timespan(1, 0));
+  std::vector<char> Bytes(4096);
+  int Read = 1;
+  while (Read > 0)
+    Read = Accepted.receiveBytes(Bytes.data(), static_cast<int>(Bytes.size()));
+  BOOST_TEST(Read == 0, "expected the end of the connection");
+}
+
+BOOST_AUTO_TEST_CASE(WaitingRequestToAPeerThatLeavesIsNotSentAtOnce) {
+  transport_pair Test;
+  const time_point Begin = bootNow();
+  Test.forward(requestOf(10));
+  Test.Caller->retainOnly({});
+  BOOST_TEST(Test.runUntil([&] { return Test.Finished == 1; }));
+  BOOST_REQUIRE(Test.Failure.has_value());
+  BOOST_TEST((*Test.Failure == peer_failure::NotSent));
+  BOOST_TEST(toMillis(bootNow() - Begin) < 100);
+  BOOST_TEST(Test.Requests == 0);
+  BOOST_TEST(Test.Caller->drainingConnections() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(CancelReachesAPeerThatHasLeft) {
+  transport_pair Test;
+  const auto First = Test.sendKept();
+  const auto Second = Test.sendKept();
+  Test.Caller->retainOnly({});
+  First();
+  BOOST_TEST(Test.runUntil([&] { return Test.Cancelled == 1; }));
+  BOOST_TEST(Test.Caller->drainingConnections() == 1U);
+  Second();
+  BOOST_TEST(Test.runUntil([&] { return Test.Cancelled == 2; }));
+  BOOST_TEST(Test.Caller->drainingConnections() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(TimeoutOfTheCallBoundsADrainingConnection) {
+  transport_pair Test;
+  Test.sendKept(milliseconds(400));
+  Test.Caller->retainOnly({});
+  BOOST_TEST(Test.runUntil([&] { return Test.Finished == 1; }));
+  BOOST_REQUIRE(Test.Failure.has_value());
+  BOOST_TEST((*Test.Failure == peer_failure::NoReply));
+  BOOST_TEST(Test.Caller->drainingConnections() == 0U);
+  BOOST_TEST(Test.runUntil([&] { return Test.Cancelled == 1; }));
+}
+
+BOOST_AUTO_TEST_CASE(SilentPeerThatHasLeftIsFoundBeforeTheCallTimesOut) {
+  Poco::Net::ServerSocket Silent(Poco::Net::SocketAddress("127.0.9.3", 0));
+  auto Loop = moveValue(event_loop::create());
+  const std::uint16_t Port = Silent.address().port();
+  auto Caller = moveValue(peer_transport::start(*Loop, "127.0.9.4", Port, {}));
+  std::optional<peer_failure> Failed;
+  const time_point Begin = bootNow();
+  Caller->forward(vmAt("127.0.9.3"), requestOf(10), milliseconds(8000),
+                  [&](const wire_gateway::Forwarded *, peer_failure Failure) {
+                    Failed = Failure;
+                    Loop->stop();
+                  });
+  Loop->after(milliseconds(300), [&] { Caller->retainOnly({}); });
+  Loop->after(milliseconds(600), [&] { BOOST_TEST(!Failed.has_value()); });
+  Loop->after(TestTimeout, [&Loop] { Loop->stop(); });
+  Loop->run();
+  BOOST_REQUIRE(Failed.has_value());
+  BOOST_TEST((*Failed == peer_failure::NoReply));
+  BOOST_TEST(toMillis(bootNow() - Begin) < 4000);
+  BOOST_TEST(Caller->drainingConnections() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(PeerThatEndsAfterItHasLeftFailsItsRequests) {
+  transport_pair Test;
+  Test.sendKept();
+  Test.Caller->retainOnly({});
+  Test.Owner.reset();
+  BOOST_TEST(Test.runUntil([&] { return Test.Finished == 1; }));
+  BOOST_REQUIRE(Test.Failure.has_value());
+  BOOST_TEST((*Test.Failure == peer_failure::NoReply));
+  BOOST_TEST(Test.Caller->drainingConnections() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(PeerThatIsListedAgainKeepsItsConnection) {
+  transport_pair Test;
+  Test.sendKept();
+  Test.Caller->retainOnly({});
+  BOOST_TEST(Test.Caller->drainingConnections() == 1U);
+  entry_vm Again = vmAt("127.0.9.1");
+  Again.Id.Incarnation = 2;
+  BOOST_TEST(Test.Caller->isConnected(Again));
+  BOOST_TEST(Test.Caller->drainingConnections() == 0U);
+  Test.sendKept();
+  Test.answerAllKept();
+  BOOST_TEST(Test.runUntil([&] { return Test.Finished == 2; }));
+  BOOST_TEST(!Test.Failure.has_value());
+  BOOST_TEST(Test.Caller->isConnected(Again));
+}
+
+BOOST_AUTO_TEST_CASE(EveryPeerOfManyThatLeaveIsForgotten) {
+  constexpr int Count = 60;
+  transport_pair Test("0.0.0.0");
+  Test.KeepsBack = true;
+  for (int I = 0; I < Count; ++I) {
+    Test.forwardTo(vmAt("127.0.9." + std::to_string(20 + I)), requestOf(10));
+    BOOST_REQUIRE(Test.runUntil([&] { return Test.Requests == I + 1; }));
+    Test.Caller->retainOnly({});
+  }
+  BOOST_TEST(Test.Caller->drainingConnections() == std::size_t{Count});
+  Test.answerAllKept();
+  BOOST_TEST(Test.runUntil([&] { return Test.Finished == Count; }));
+  BOOST_TEST(!Test.Failure.has_value());
+  BOOST_TEST(Test.Cancelled == 0);
+  BOOST_TEST(Test.Caller->drainingConnections() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(StopEndsRequestsToPeersThatHaveLeft) {
+  transport_pair Test;
+  Test.sendKept();
+  Test.Caller->retainOnly({});
+  Test.Caller->stop();
+  BOOST_TEST(Test.runUntil([&] { return Test.Finished == 1; }));
+  BOOST_REQUIRE(Test.Failure.has_value());
+  BOOST_TEST((*Test.Failure == peer_failure::NoReply));
+  BOOST_TEST(Test.Caller->drainingConnections() == 0U);
+  BOOST_TEST(Test.runUntil([&] { return Test.Cancelled == 1; }));
+}
+
+BOOST_AUTO_TEST_CASE(CallerThatEndsCancelsRequestsToPeersThatHaveLeft) {
+  transport_pair Test;
+  Test.sendKept();
+  Test.Caller->retainOnly({});
+  Test.Caller.reset();
+  BOOST_TEST(Test.runUntil([&] { return Test.Cancelled == 1; }));
+  Test.answerAllKept();
+  // No timer of the request outlives the transport.
+  Test.Loop->after(CallTimeout + milliseconds(100),
+                   [&Test] { Test.Loop->stop(); });
+  Test.Loop->run();
+  BOOST_TEST(Test.Finished == 0);
+}
+
+BOOST_AUTO_TEST_CASE(StoppedTransportSendsNoRequest) {
+  transport_pair Test;
+  Test.connect();
+  Test.Caller->stop();
+  Test.forward(requestOf(10));
+  BOOST_TEST(Test.runUntil([&] { return Test.Finished == 1; }));
+  BOOST_REQUIRE(Test.Failure.has_value());
+  BOOST_TEST((*Test.Failure == peer_failure::NotSent));
+  BOOST_TEST(Test.Requests == 0);
+}
+
 BOOST_AUTO_TEST_CASE(BodyOverTheBudgetIsRefusedAsNotRun) {
   transport_pair Test;
   Test.Owner->setBodies(std::make_shared<body_budget>(100'000));
