--- a/src/gateway/peer_transport.cpp
+++ b/src/gateway/peer_transport.cpp
@@ -92,10 +92,9 @@
     Current->Vm = Vm.Id.Name;
     Current->Address = Address;
   }
-  const peer_ptr Peer = Current;
   if (Former)
     drain(Former, "new address");
-  return Peer;
+  return Current;
 }
 
 /// Returns the VM if its connection is still draining, so that a VM that is
@@ -109,8 +108,7 @@
       });
   if (Found == Draining.end())
     return nullptr;
-  const peer_ptr Peer = *Found;
-  Draining.erase(Found);
+  peer_ptr Peer = std::move(Draining.extract(Found).value());
   Peer->IsDraining = false;
   return Peer;
 }
