Logs tell which side closed a connection, and what a stop leaves

caller-disconnected was logged for a caller that left and for a connection that the gateway closed with requests in progress. The latter is now request-dropped, and requests-dropped says how many requests a close of the gateway's dropped, and how many of them had an answer that waited for its turn.

stopped names the callers' connections and the unread, undecoded and unsent bytes at the decision to end. ended says how long the process lived after it, and how many requests it read and dropped in that time. No logic changes.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -5,6 +5,8 @@
 #include "../core/log.h"
 #include "agatedale/verdict.h"
 
+#include <algorithm>
+
 namespace agatedale {
 
 namespace {
@@ -25,7 +27,7 @@
   if (Responded)
     return;
   Responded = true;
-  OnCallerDisconnected = nullptr;
+  OnDisconnected = nullptr;
   const std::shared_ptr<caller_connection> Owner = Connection.lock();
   if (!Owner)
     return;
@@ -144,6 +146,7 @@
   ReadingDone = !Exchange->KeepAlive;
   Decoder.reset();
   Pending.push_back(Exchange);
+  ++Context->Counts.Received;
   armTimer();
   Context->Serve(Exchange);
 }
@@ -197,7 +200,7 @@
 void caller_connection::closeGracefully() {
   ClosingGracefully = true;
   ReadingDone = true;
-  cancelPending();
+  cancelPending(connection_end::ByGateway);
   Buffer.clear();
   Stream->pauseReading(false);
   Stream->finishSending();
@@ -209,15 +212,30 @@
   });
 }
 
-void caller_connection::cancelPending() {
+void caller_connection::logDropped() const {
+  const auto Answered = static_cast<std::size_t>(
+      std::count_if(Pending.begin(), Pending.end(),
+                    [](const auto &Exchange) { return Exchange->Responded; }));
+  const held_bytes Held = heldBytes();
+  Context->Counts.Dropped += Pending.size();
+  logLine(log_level::Warning, "requests-dropped",
+          {{"in_progress", Pending.size() - Answered},
+           {"answered", Answered},
+           {"undecoded_bytes", Held.Undecoded},
+           {"unread_bytes", Held.Unread}});
+}
+
+void caller_connection::cancelPending(connection_end By) {
+  if (By == connection_end::ByGateway && !Pending.empty())
+    logDropped();
   const auto CancelledExchanges = std::move(Pending);
   Pending.clear();
   for (const std::shared_ptr<caller_exchange> &Exchange : CancelledExchanges) {
-    const auto OnCallerDisconnected = std::move(Exchange->OnCallerDisconnected);
-    Exchange->OnCallerDisconnected = nullptr;
+    const auto OnDisconnected = std::move(Exchange->OnDisconnected);
+    Exchange->OnDisconnected = nullptr;
     Exchange->Connection.reset();
-    if (OnCallerDisconnected)
-      OnCallerDisconnected();
+    if (OnDisconnected)
+      OnDisconnected(By);
   }
 }
 
@@ -225,7 +243,7 @@
   const auto Self = shared_from_this();
   Loop.cancel(Timer);
   Stream->close();
-  cancelPending();
+  cancelPending(connection_end::ByCaller);
   Context->Closed(Self);
 }
 
@@ -234,6 +252,13 @@
   return Pending.empty() && !Receiving && !ClosingGracefully;
 }
 
+caller_connection::held_bytes caller_connection::heldBytes() const {
+  // The body that is being received is held by the decoder.
+  const std::size_t Decoding = Decoder ? Decoder->bodyBytes() : 0;
+  return {Stream->unreadBytes(), Buffer.size() + Decoding,
+          Stream->unsentBytes()};
+}
+
 void caller_connection::closeIfIdle() {
   if (isIdle())
     closeGracefully();
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -7,6 +7,8 @@
 #include "http_codec.h"
 #include "tcp_stream.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -16,6 +18,9 @@
 
 class caller_connection;
 
+/// Which side ended a connection.
+enum class connection_end { ByCaller, ByGateway };
+
 /// One request of a caller and its response.
 class caller_exchange {
 public:
@@ -26,12 +31,15 @@
   /// connection is closed afterwards. Only the first call has an effect.
   void respond(const http_response_message &Response, bool Close = false);
 
-  /// Called if the caller disconnects before the response.
-  std::function<void()> OnCallerDisconnected;
+  /// Called if the connection ends before the response.
+  std::function<void(connection_end)> OnDisconnected;
 
 private:
   friend class caller_connection;
 
+  /// Which side ended a connection.
+  enum class connection_end { ByCaller, ByGateway };
+
   std::weak_ptr<caller_connection> Connection;
   body_reservation Share; ///< The body's share of the body budget.
   bool IsHeadRequest = false;
@@ -49,11 +57,25 @@
 class caller_connection
     : public std::enable_shared_from_this<caller_connection> {
 public:
+  /// Requests of all connections of a listener since its start.
+  struct request_counts {
+    std::uint64_t Received = 0;
+    std::uint64_t Dropped = 0; ///< Read, and the gateway closed unanswered.
+  };
+
+  /// Bytes that a connection holds in one direction or the other.
+  struct held_bytes {
+    std::size_t Unread = 0;    ///< In the socket.
+    std::size_t Undecoded = 0; ///< Read, but not part of a whole request yet.
+    std::size_t Unsent = 0;
+  };
+
   /// The state that all connections of a listener share.
   struct context {
     caller_limits Limits;
     std::shared_ptr<body_budget> Bodies; ///< No limit if null.
     bool Stopping = false; ///< Responses announce that the connection closes.
+    request_counts Counts;
     std::function<void(std::shared_ptr<caller_exchange>)> Serve;
     std::function<void(const std::shared_ptr<caller_connection> &)> Opened;
     std::function<void(const std::shared_ptr<caller_connection> &)> Closed;
@@ -65,6 +87,7 @@
   /// Closes the connection if no request is being received or served.
   void closeIfIdle();
   bool isIdle() const;
+  held_bytes heldBytes() const;
 
 private:
   friend class caller_exchange;
@@ -88,7 +111,8 @@
   void fail(const http_response_message &Response);
   void sendResponsesInOrder();
   void closeGracefully();
-  void cancelPending();
+  void cancelPending(connection_end By);
+  void logDropped() const;
 
   event_loop &Loop;
   std::shared_ptr<context> Context;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -108,6 +108,8 @@
     if (Transport)
       stopPeers();
     Worker.reset();
+    if (EndDecidedAt)
+      logEnded();
   }
 
   std::optional<error> start();
@@ -118,6 +120,8 @@
 
 private:
   void stopPeers();
+  void logStopped(duration DrainElapsed);
+  void logEnded() const;
   void stopLoopWhenRepliesSent(time_point Until);
   void runTick();
   void runHeartbeatTimer();
@@ -166,6 +170,9 @@
   std::optional<std::uint64_t> RegisteredAt;
   std::mt19937_64 Random;
   bool Stopping = false;
+  /// When a stop decided to end, and the requests counted until then.
+  std::optional<time_point> EndDecidedAt;
+  caller_connection::request_counts CountsAtEnd;
   /// While set, calls from peers are answered but no call is made.
   bool PeersStopping = false;
 };
@@ -523,16 +530,36 @@
   }
   const bool MustEnd = DrainElapsed >= MaxDrainTime + FinalResponseTime;
   if ((DrainDelayOver && Idle) || MustEnd) {
-    logLine(log_level::Info, "stopped",
-            {{"requests", Router->inProgress()},
-             {"dispatched", Host->inProgress()},
-             {"after_ms", toMillis(DrainElapsed)}});
+    logStopped(DrainElapsed);
     Loop->stop();
     return;
   }
   Loop->after(TickInterval, [this, Since] { checkDrained(Since); });
 }
 
+void gateway_node::impl::logStopped(duration DrainElapsed) {
+  EndDecidedAt = bootNow();
+  CountsAtEnd = CallerListener->counts();
+  const caller_connection::held_bytes Held = CallerListener->heldBytes();
+  logLine(log_level::Info, "stopped",
+          {{"requests", Router->inProgress()},
+           {"dispatched", Host->inProgress()},
+           {"connections", CallerListener->connections()},
+           {"unread_bytes", Held.Unread},
+           {"undecoded_bytes", Held.Undecoded},
+           {"unsent_bytes", Held.Unsent},
+           {"after_ms", toMillis(DrainElapsed)}});
+}
+
+void gateway_node::impl::logEnded() const {
+  const caller_connection::request_counts &Counts = CallerListener->counts();
+  logLine(log_level::Info, "ended",
+          {{"received", Counts.Received - CountsAtEnd.Received},
+           {"dropped", Counts.Dropped - CountsAtEnd.Dropped},
+           {"connections", CallerListener->connections()},
+           {"after_ms", toMillis(bootNow() - *EndDecidedAt)}});
+}
+
 gateway_node::gateway_node(std::unique_ptr<impl> Impl)
     : Impl(std::move(Impl)) {}
 gateway_node::~gateway_node() = default;
--- a/src/gateway/listener.cpp
+++ b/src/gateway/listener.cpp
@@ -60,6 +60,17 @@
   }
 }
 
+caller_connection::held_bytes listener::heldBytes() const {
+  caller_connection::held_bytes Sum;
+  for (const std::shared_ptr<caller_connection> &Connection : Open) {
+    const caller_connection::held_bytes Held = Connection->heldBytes();
+    Sum.Unread += Held.Unread;
+    Sum.Undecoded += Held.Undecoded;
+    Sum.Unsent += Held.Unsent;
+  }
+  return Sum;
+}
+
 void listener::closeIdle() {
   const auto Connections = Open;
   for (const std::shared_ptr<caller_connection> &Connection : Connections)
--- a/src/gateway/listener.h
+++ b/src/gateway/listener.h
@@ -35,6 +35,12 @@
   void closeIdle();
   std::size_t connections() const { return Open.size(); }
 
+  /// Returns the sum of what all connections hold.
+  caller_connection::held_bytes heldBytes() const;
+  const caller_connection::request_counts &counts() const {
+    return Context->Counts;
+  }
+
 private:
   listener(event_loop &Loop, serve Serve);
   void acceptAll();
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -165,8 +165,8 @@
   // Moved to avoid a second copy of the body; the exchange no longer uses it.
   Request.Message = std::move(Message);
   ActiveRequests.insert(ActiveRequest);
-  Exchange->OnCallerDisconnected = [this, ActiveRequest] {
-    onCallerDisconnected(ActiveRequest);
+  Exchange->OnDisconnected = [this, ActiveRequest](connection_end By) {
+    onDisconnected(ActiveRequest, By);
   };
   ActiveRequest->Timer =
       Loop.after(Request.Deadline + OverdueGrace - bootNow(),
@@ -365,8 +365,8 @@
     Cancel();
 }
 
-void request_router::onCallerDisconnected(
-    const active_request_ptr &ActiveRequest) {
+void request_router::onDisconnected(const active_request_ptr &ActiveRequest,
+                                    connection_end By) {
   if (ActiveRequest->Done)
     return;
   ActiveRequest->Done = true;
@@ -375,9 +375,13 @@
   ActiveRequests.erase(ActiveRequest);
   const auto Cancel = std::move(ActiveRequest->Cancel);
   ActiveRequest->Cancel = nullptr;
-  logLine(log_level::Info, "caller-disconnected",
+  const bool ByCaller = By == connection_end::ByCaller;
+  logLine(ByCaller ? log_level::Info : log_level::Warning,
+          ByCaller ? "caller-disconnected" : "request-dropped",
           {{"request", ActiveRequest->Request.Id},
            {"route", ActiveRequest->Request.Route},
+           {"group", toText(ActiveRequest->Request.Group)},
+           {"groups", ActiveRequest->TriedGroups.size()},
            {"after_ms", toMillis(bootNow() - ActiveRequest->ArrivedAt)}});
   if (Cancel)
     Cancel();
--- a/src/gateway/request_router.h
+++ b/src/gateway/request_router.h
@@ -90,7 +90,8 @@
                 forward_response Response);
   void onOverdue(const active_request_ptr &ActiveRequest);
   forward_response stoppingResponse(forward_ticket HostTicket);
-  void onCallerDisconnected(const active_request_ptr &ActiveRequest);
+  void onDisconnected(const active_request_ptr &ActiveRequest,
+                      connection_end By);
   http_response_message makeRefusal(const forward_response &Response);
 
   event_loop &Loop;
--- a/src/gateway/tcp_stream.cpp
+++ b/src/gateway/tcp_stream.cpp
@@ -8,6 +8,7 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 
@@ -158,6 +159,16 @@
   }
 }
 
+std::size_t tcp_stream::unreadBytes() const {
+  if (Closed)
+    return 0;
+  try {
+    return static_cast<std::size_t>(std::max(Socket.available(), 0));
+  } catch (const Poco::Exception &) {
+    return 0; // The connection is broken; its end is reported when it is read.
+  }
+}
+
 void tcp_stream::send(std::string_view Bytes) {
   if (Closed || SendShutdownDone || SendFailed)
     return;
--- a/src/gateway/tcp_stream.h
+++ b/src/gateway/tcp_stream.h
@@ -60,6 +60,11 @@
   bool isClosed() const { return Closed; }
   bool hasUnsent() const { return UnsentOffset < Unsent.size(); }
 
+  std::size_t unsentBytes() const { return Unsent.size() - UnsentOffset; }
+
+  /// Returns the number of received bytes that wait in the socket.
+  std::size_t unreadBytes() const;
+
   /// Returns the number of bytes that the socket has accepted.
   std::uint64_t bytesSent() const { return BytesSent; }
 
