A request that has arrived keeps its connection from being closed as idle

Cause: closeIfIdle decided from what was decoded. A request in the socket's buffer was read after the close and dropped, and its connection stayed open for the linger time of 1 s, or until the process ended. A head whose rest waited in the buffer got 408 at its timeout in the same way.

Before the decision the socket is read now. An idle connection is closed at once instead of half-closed and read on: the system resets it if a request arrives later, so that the caller can tell that it was not read. A new connection counts as idle only after 200 ms without a byte.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -20,6 +20,10 @@
 /// Time that a caller gets to close the connection after the last response.
 constexpr duration LingerTime = std::chrono::seconds(1);
 
+/// Time for the first request of a new connection to arrive before the
+/// connection counts as idle.
+constexpr duration FirstRequestTime = std::chrono::milliseconds(200);
+
 } // namespace
 
 void caller_exchange::respond(const http_response_message &Response,
@@ -77,9 +81,17 @@
 }
 
 void caller_connection::onTimeout() {
+  const auto Self = shared_from_this();
+  Timer = 0;
+  // The event loop may be late: what has arrived by now is not overdue.
+  Stream->readNow();
+  if (Stream->isClosed() || ClosingGracefully || Timer != 0)
+    return;
   const bool Receiving = Decoder && Decoder->hasStarted();
   if (!Receiving) {
     closeIfIdle();
+    if (!Stream->isClosed() && !ClosingGracefully)
+      armTimer();
     return;
   }
   // A body may take any time while its bytes arrive.
@@ -94,6 +106,7 @@
 void caller_connection::onReceived(std::string_view Bytes) {
   if (ClosingGracefully)
     return;
+  HasReceived = true;
   Buffer.append(Bytes);
   decodeAll();
 }
@@ -260,8 +273,22 @@
 }
 
 void caller_connection::closeIfIdle() {
-  if (isIdle())
+  const auto Self = shared_from_this();
+  if (!isIdle())
+    return;
+  Stream->readNow();
+  if (Stream->isClosed() || !isIdle() || awaitsFirstRequest())
+    return;
+  // Reading on would accept requests that cannot be answered; the system resets
+  // the connection if one arrives, which tells the caller that it was not read.
+  if (Stream->hasUndelivered())
     closeGracefully();
+  else
+    onEnded();
+}
+
+bool caller_connection::awaitsFirstRequest() const {
+  return !HasReceived && bootNow() - OpenedAt < FirstRequestTime;
 }
 
 } // namespace agatedale
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -84,7 +84,8 @@
   static void open(event_loop &Loop, const Poco::Net::StreamSocket &Socket,
                    std::shared_ptr<context> Context);
 
-  /// Closes the connection if no request is being received or served.
+  /// Closes the connection if no request has arrived, is being received or
+  /// served. A request that arrives later is not read.
   void closeIfIdle();
   bool isIdle() const;
   held_bytes heldBytes() const;
@@ -104,6 +105,7 @@
   void onEnded();
   void onTimeout();
   void armTimer();
+  bool awaitsFirstRequest() const;
   void decodeAll();
   void serveDecoded();
   void fail(int Status);
@@ -121,6 +123,8 @@
   std::unique_ptr<request_decoder> Decoder;
   body_reservation Share; ///< The share of the request that is being received.
   bool ContinueSent = false;
+  time_point OpenedAt = bootNow();
+  bool HasReceived = false;
   std::deque<std::shared_ptr<caller_exchange>> Pending;
   bool ReadingDone = false;
   bool ClosingGracefully = false;
--- a/src/gateway/tcp_stream.cpp
+++ b/src/gateway/tcp_stream.cpp
@@ -7,6 +7,7 @@
 #include <Poco/Net/NetException.h>
 
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <array>
@@ -80,18 +81,22 @@
   const std::weak_ptr<tcp_stream> Weak = weak_from_this();
   Loop.watch(Socket, Modes, [Weak](int Ready) {
     const std::shared_ptr<tcp_stream> Stream = Weak.lock();
-    if (!Stream)
-      return;
-    try {
-      Stream->onReady(Ready);
-    } catch (const std::exception &Failure) {
-      // Its state is not known any more, so that only this connection ends.
-      logLine(log_level::Error, "connection-failed", {{"why", Failure.what()}});
-      Stream->end(stream_end::Reset);
-    }
+    if (Stream)
+      Stream->runGuarded([&Stream, Ready] { Stream->onReady(Ready); });
   });
 }
 
+/// Runs \p Run. After an exception the state of the connection is not known any
+/// more, so that only this connection ends.
+template <typename Handler> void tcp_stream::runGuarded(const Handler &Run) {
+  try {
+    Run();
+  } catch (const std::exception &Failure) {
+    logLine(log_level::Error, "connection-failed", {{"why", Failure.what()}});
+    end(stream_end::Reset);
+  }
+}
+
 void tcp_stream::updateModes() {
   if (Closed)
     return;
@@ -159,6 +164,21 @@
   }
 }
 
+void tcp_stream::readNow() {
+  const std::shared_ptr<tcp_stream> Self = shared_from_this();
+  if (Connected && !Closed)
+    runGuarded([this] { onReadable(); });
+}
+
+bool tcp_stream::hasUndelivered() const {
+  if (Closed)
+    return false;
+  int Unconfirmed = 0;
+  if (::ioctl(Socket.impl()->sockfd(), TIOCOUTQ, &Unconfirmed) != 0)
+    Unconfirmed = 0;
+  return hasUnsent() || Unconfirmed > 0;
+}
+
 std::size_t tcp_stream::unreadBytes() const {
   if (Closed)
     return 0;
--- a/src/gateway/tcp_stream.h
+++ b/src/gateway/tcp_stream.h
@@ -45,6 +45,9 @@
 
   void send(std::string_view Bytes);
 
+  /// Reads what has arrived, without waiting for the event loop's next turn.
+  void readNow();
+
   /// Pauses or resumes reading, to apply backpressure to the peer.
   void pauseReading(bool Pause);
 
@@ -62,6 +65,9 @@
 
   std::size_t unsentBytes() const { return Unsent.size() - UnsentOffset; }
 
+  /// Returns true if the peer's system has not confirmed all data.
+  bool hasUndelivered() const;
+
   /// Returns the number of received bytes that wait in the socket.
   std::size_t unreadBytes() const;
 
@@ -73,6 +79,7 @@
       : Loop(Loop), Handlers(std::move(Handlers)) {}
 
   void start(bool IsConnected);
+  template <typename Handler> void runGuarded(const Handler &Run);
   void onReady(int Modes);
   void onConnected();
   void onReadable();
