A stop ends only when no request of a caller can be read any more

Cause: the end was decided from what had been decoded, while the listening socket stayed open until the process was gone. After the decision the process ran the loop for its peers, still reading callers' requests, and then waited for the read of the store, up to 1.5 s. Connections of that time were established by the system and waited in the backlog of a process that accepted no more. New connections that were still accepted held a stop until its grace time ended, and requests that ran at that moment were cut.

The stop now has phases (stop_sequence): once the drain delay is over the waiting connections are accepted and the listening socket is closed, so that the system refuses later ones and callers go elsewhere. Every open connection is read once more before it is taken for idle. The loop ends when nothing is left, the own row's removal included, or when the grace time is over; then what was read is answered and all connections are closed before the peers get their last replies. The calls to the store are interrupted instead of waited for. A phase is never skipped, however late the loop is. Before the requests are answered at the end of the grace time, the responses that have arrived are handled, so that they do not lose to a 504 of the same turn.

A connection that closes lingers as long as its caller reads the response; one that read for longer than 1 s got only a part of it.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -217,14 +217,26 @@
   Buffer.clear();
   Stream->pauseReading(false);
   Stream->finishSending();
+  armLingerTimer();
+}
+
+void caller_connection::armLingerTimer() {
   Loop.cancel(Timer);
   const std::weak_ptr<caller_connection> Weak = weak_from_this();
-  Timer = Loop.after(LingerTime, [Weak] {
+  Timer = Loop.after(LingerTime, [Weak, Sent = Stream->bytesSent()] {
     if (const auto Self = Weak.lock())
-      Self->onEnded();
+      Self->onLingerTimeout(Sent);
   });
 }
 
+/// Waits on while the caller reads a long response.
+void caller_connection::onLingerTimeout(std::uint64_t SentBefore) {
+  if (Stream->hasUnsent() && Stream->bytesSent() > SentBefore)
+    armLingerTimer();
+  else
+    end(connection_end::ByGateway);
+}
+
 void caller_connection::logDropped() const {
   const auto Answered = static_cast<std::size_t>(
       std::count_if(Pending.begin(), Pending.end(),
@@ -252,11 +264,15 @@
   }
 }
 
-void caller_connection::onEnded() {
+void caller_connection::onEnded() { end(connection_end::ByCaller); }
+
+void caller_connection::close() { end(connection_end::ByGateway); }
+
+void caller_connection::end(connection_end By) {
   const auto Self = shared_from_this();
   Loop.cancel(Timer);
   Stream->close();
-  cancelPending(connection_end::ByCaller);
+  cancelPending(By);
   Context->Closed(Self);
 }
 
@@ -284,7 +300,7 @@
   if (Stream->hasUndelivered())
     closeGracefully();
   else
-    onEnded();
+    close();
 }
 
 bool caller_connection::awaitsFirstRequest() const {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -88,6 +88,12 @@
   /// served. A request that arrives later is not read.
   void closeIfIdle();
   bool isIdle() const;
+
+  /// Reads what has arrived.
+  void readNow() { Stream->readNow(); }
+
+  /// Closes the connection at once and drops its requests.
+  void close();
   held_bytes heldBytes() const;
 
 private:
@@ -105,6 +111,9 @@
   void onEnded();
   void onTimeout();
   void armTimer();
+  void armLingerTimer();
+  void onLingerTimeout(std::uint64_t SentBefore);
+  void end(connection_end By);
   bool awaitsFirstRequest() const;
   void decodeAll();
   void serveDecoded();
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -5,6 +5,7 @@
 #include "../core/log.h"
 #include "agatedale/metrics.h"
 #include "agatedale/registration_pacer.h"
+#include "agatedale/stop_sequence.h"
 #include "fleet_state.h"
 #include "group_host.h"
 #include "listener.h"
@@ -52,18 +53,6 @@
 /// Interval at which VMs that have stopped sending heartbeats are removed.
 constexpr duration CleanupInterval = std::chrono::seconds(1);
 
-/// Time until the platform stops sending new connections: it takes a VM out of
-/// rotation after two failed readiness checks, which it makes once a second.
-/// Idle connections are closed after this delay.
-constexpr duration DrainDelay = std::chrono::milliseconds(2300);
-
-/// Time for the responses to the requests that a stop has not waited for.
-constexpr duration FinalResponseTime = std::chrono::milliseconds(300);
-
-/// The responses of a stop are sent at least this long before the platform
-/// kills the process.
-constexpr duration StopMargin = std::chrono::milliseconds(700);
-
 /// Time that replies to peers get to leave during shutdown.
 constexpr duration PeerShutdownGrace = std::chrono::milliseconds(100);
 constexpr duration PeerShutdownPoll = std::chrono::milliseconds(5);
@@ -120,7 +109,7 @@
 
 private:
   void stopPeers();
-  void logStopped(duration DrainElapsed);
+  void logStopped();
   void logEnded() const;
   void stopLoopWhenRepliesSent(time_point Until);
   void runTick();
@@ -146,7 +135,11 @@
   void registerSelf();
   void updateReady();
   bool isReady() const;
-  void checkDrained(time_point Since);
+  void checkStop();
+  stop_work remainingWork() const;
+  void enter(stop_phase Phase);
+  void answerAll();
+  void endLoop();
   std::optional<error> openMetrics();
   void setGauges();
 
@@ -170,6 +163,8 @@
   std::optional<std::uint64_t> RegisteredAt;
   std::mt19937_64 Random;
   bool Stopping = false;
+  std::optional<stop_sequence> Stop; ///< Set while stopping.
+  bool RowRemains = false; ///< The removal of the own row is not completed.
   /// When a stop decided to end, and the requests counted until then.
   std::optional<time_point> EndDecidedAt;
   caller_connection::request_counts CountsAtEnd;
@@ -503,41 +498,62 @@
       {{"requests", Router->inProgress()}, {"dispatched", Host->inProgress()}});
   updateReady();
   CallerListener->closeAfterResponses();
+  Stop = stop_sequence::create(bootNow(), Settings.StopGrace);
+  RowRemains = true;
   sendHeartbeats();
   Worker->remove(store_table::Vms, rowKey(Settings.Vm),
                  FleetState->vmRowVersion(rowKey(Settings.Vm)),
                  [this](const result<std::uint64_t> &Done) {
+                   RowRemains = false;
                    if (const error *Error = errorOf(Done))
                      logLine(log_level::Warning, "store-write-failed",
                              {{"row", Settings.Vm}, {"why", Error->Message}});
                  });
-  checkDrained(bootNow());
+  checkStop();
 }
 
-void gateway_node::impl::checkDrained(time_point Since) {
-  const duration DrainElapsed = bootNow() - Since;
-  const duration MaxDrainTime = Settings.StopGrace - StopMargin;
-  const bool DrainDelayOver =
-      DrainElapsed >= std::min<duration>(DrainDelay, MaxDrainTime / 2);
-  if (DrainDelayOver)
-    CallerListener->closeIdle();
-  const bool Idle = Router->inProgress() == 0 && Host->inProgress() == 0 &&
-                    CallerListener->connections() == 0;
-  const bool HasTimedOut = DrainElapsed >= MaxDrainTime;
-  if (HasTimedOut) {
-    Router->answerAll();
+stop_work gateway_node::impl::remainingWork() const {
+  return {static_cast<std::size_t>(Router->inProgress()), Host->inProgress(),
+          CallerListener->connections(), RowRemains};
+}
+
+void gateway_node::impl::checkStop() {
+  if (Stop->phase() != stop_phase::Draining)
     CallerListener->closeIdle();
+  if (Stop->advance(remainingWork(), bootNow()))
+    enter(Stop->phase());
+  if (Stop->phase() == stop_phase::Answering) {
+    // Responses that have arrived are handled first: the loop reads the sockets
+    // before it runs what was posted, and they may post as well.
+    Loop->post([this] { Loop->post([this] { answerAll(); }); });
   }
-  const bool MustEnd = DrainElapsed >= MaxDrainTime + FinalResponseTime;
-  if ((DrainDelayOver && Idle) || MustEnd) {
-    logStopped(DrainElapsed);
-    Loop->stop();
-    return;
-  }
-  Loop->after(TickInterval, [this, Since] { checkDrained(Since); });
+  if (Stop->phase() != stop_phase::Ended)
+    Loop->after(TickInterval, [this] { checkStop(); });
+}
+
+void gateway_node::impl::enter(stop_phase Phase) {
+  if (Phase == stop_phase::Closing)
+    CallerListener->stopAccepting();
+  else if (Phase == stop_phase::Ended)
+    endLoop();
+}
+
+/// Answers what has been read, and refuses what arrives later.
+void gateway_node::impl::answerAll() {
+  CallerListener->readAll();
+  Router->answerAll();
+}
+
+/// Ends the loop. No request of a caller is read afterwards: nothing would
+/// answer it.
+void gateway_node::impl::endLoop() {
+  CallerListener->readAll();
+  logStopped();
+  CallerListener->closeAll();
+  Loop->stop();
 }
 
-void gateway_node::impl::logStopped(duration DrainElapsed) {
+void gateway_node::impl::logStopped() {
   EndDecidedAt = bootNow();
   CountsAtEnd = CallerListener->counts();
   const caller_connection::held_bytes Held = CallerListener->heldBytes();
@@ -548,7 +564,7 @@
            {"unread_bytes", Held.Unread},
            {"undecoded_bytes", Held.Undecoded},
            {"unsent_bytes", Held.Unsent},
-           {"after_ms", toMillis(DrainElapsed)}});
+           {"after_ms", toMillis(*EndDecidedAt - Stop->since())}});
 }
 
 void gateway_node::impl::logEnded() const {
--- a/src/gateway/listener.cpp
+++ b/src/gateway/listener.cpp
@@ -40,24 +40,55 @@
         fmt::format("cannot listen on {}: {}", Address, Failure.displayText())};
   }
   Loop.watch(Listener->Socket, Poco::Net::PollSet::POLL_READ,
-             [Raw = Listener.get()](int) { Raw->acceptAll(); });
+             [Raw = Listener.get()](int) { Raw->acceptReady(); });
   return Listener;
 }
 
-listener::~listener() { Loop.unwatch(Socket); }
-
-void listener::acceptAll() {
-  for (int I = 0; I < MaxAcceptsInRow; ++I) {
-    try {
-      if (!Socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
-        return;
-      caller_connection::open(Loop, Socket.acceptConnection(), Context);
-    } catch (const Poco::Exception &Failure) {
-      logLine(log_level::Warning, "accept-failed",
-              {{"why", Failure.displayText()}});
-      return;
-    }
+listener::~listener() {
+  if (Accepts)
+    Loop.unwatch(Socket);
+}
+
+void listener::acceptReady() {
+  for (int I = 0; I < MaxAcceptsInRow && acceptNext(); ++I) {
+  }
+}
+
+/// Returns false if no connection waits.
+bool listener::acceptNext() {
+  try {
+    if (!Socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
+      return false;
+    caller_connection::open(Loop, Socket.acceptConnection(), Context);
+    return true;
+  } catch (const Poco::Exception &Failure) {
+    logLine(log_level::Warning, "accept-failed",
+            {{"why", Failure.displayText()}});
+    return false;
+  }
+}
+
+void listener::stopAccepting() {
+  if (!Accepts)
+    return;
+  // The system resets connections that are not accepted before the close.
+  for (int I = 0; I < Backlog && acceptNext(); ++I) {
   }
+  Accepts = false;
+  Loop.unwatch(Socket);
+  Socket.close();
+}
+
+void listener::readAll() {
+  const auto Connections = Open;
+  for (const std::shared_ptr<caller_connection> &Connection : Connections)
+    Connection->readNow();
+}
+
+void listener::closeAll() {
+  const auto Connections = Open;
+  for (const std::shared_ptr<caller_connection> &Connection : Connections)
+    Connection->close();
 }
 
 caller_connection::held_bytes listener::heldBytes() const {
--- a/src/gateway/listener.h
+++ b/src/gateway/listener.h
@@ -30,6 +30,16 @@
     Context->Bodies = std::move(Bodies);
   }
 
+  /// Accepts the connections that wait and closes the listening socket, so that
+  /// the system refuses later ones.
+  void stopAccepting();
+
+  /// Reads what has arrived on every connection.
+  void readAll();
+
+  /// Closes every connection, whatever it is doing.
+  void closeAll();
+
   /// Makes every response from now on announce that its connection closes.
   void closeAfterResponses() { Context->Stopping = true; }
   void closeIdle();
@@ -43,12 +53,14 @@
 
 private:
   listener(event_loop &Loop, serve Serve);
-  void acceptAll();
+  void acceptReady();
+  bool acceptNext();
 
   event_loop &Loop;
   Poco::Net::ServerSocket Socket;
   std::shared_ptr<caller_connection::context> Context;
   std::set<std::shared_ptr<caller_connection>> Open;
+  bool Accepts = true;
 };
 
 } // namespace agatedale
--- a/src/gateway/store_worker.cpp
+++ b/src/gateway/store_worker.cpp
@@ -45,6 +45,7 @@
     Stopping = true;
   }
   Changed.notify_all();
+  Client->interrupt();
   if (Thread.joinable())
     Thread.join();
 }
--- a/src/gateway/store_worker.h
+++ b/src/gateway/store_worker.h
@@ -30,6 +30,7 @@
 
   static result<std::unique_ptr<store_worker>>
   start(event_loop &Loop, const std::string &Address);
+  /// Ends calls that are running, whose results are not posted any more.
   ~store_worker();
 
   void read(const store_read &Read, read_done Done);
