The response that closes a connection in a stop is the last one

Cause: while a VM stops, every response carried Connection: close, decided when the response was made; the requests behind it were dropped.

Whether a response closes is decided now when its turn to be sent comes: it does not while further requests of the connection are pending or being received. When the drain delay is over, requests behind others are not read any more, so that a caller that pipelines without end does not hold the stop; the last response closes, which tells that caller what was not read. A request that asks for the close, or that cannot be decoded, ends the reading, so that its response is the last one anyway.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -26,8 +26,7 @@
 
 } // namespace
 
-void caller_exchange::respond(const http_response_message &Response,
-                              bool Close) {
+void caller_exchange::respond(http_response_message NewResponse, bool Close) {
   if (Responded)
     return;
   Responded = true;
@@ -35,8 +34,8 @@
   const std::shared_ptr<caller_connection> Owner = Connection.lock();
   if (!Owner)
     return;
-  CloseAfter = Close || !KeepAlive || Owner->Context->Stopping;
-  Bytes = encodeResponse(Response, IsHeadRequest, CloseAfter);
+  Response = std::move(NewResponse);
+  KeepAlive = KeepAlive && !Close;
   Owner->sendResponsesInOrder();
 }
 
@@ -104,7 +103,9 @@
 }
 
 void caller_connection::onReceived(std::string_view Bytes) {
-  if (ClosingGracefully)
+  // Behind a response that closes the connection nothing counts as read.
+  const bool ClosesAfterPending = !Context->ReadsFollowing && !Pending.empty();
+  if (ClosingGracefully || ClosesAfterPending)
     return;
   HasReceived = true;
   Buffer.append(Bytes);
@@ -113,7 +114,7 @@
 
 void caller_connection::decodeAll() {
   const auto Self = shared_from_this();
-  while (!ReadingDone && Pending.size() < MaxPipelined && !Buffer.empty()) {
+  while (mayDecode() && !Buffer.empty()) {
     if (!Decoder) {
       const caller_limits &Limits = Context->Limits;
       Decoder = std::make_unique<request_decoder>(
@@ -148,6 +149,11 @@
     Stream->pauseReading(PipelineFull);
 }
 
+bool caller_connection::mayDecode() const {
+  const bool MayFollow = Pending.empty() || Context->ReadsFollowing;
+  return !ReadingDone && MayFollow && Pending.size() < MaxPipelined;
+}
+
 void caller_connection::serveDecoded() {
   const auto Exchange = std::make_shared<caller_exchange>();
   Exchange->KeepAlive = Decoder->keepsAlive();
@@ -194,8 +200,10 @@
   while (!ClosingGracefully && !Pending.empty() && Pending.front()->Responded) {
     const std::shared_ptr<caller_exchange> Exchange = Pending.front();
     Pending.pop_front();
-    Stream->send(Exchange->Bytes);
-    if (Exchange->CloseAfter) {
+    const bool Close = closesAfter(*Exchange);
+    Stream->send(
+        encodeResponse(Exchange->Response, Exchange->IsHeadRequest, Close));
+    if (Close) {
       closeGracefully();
       return;
     }
@@ -210,6 +218,16 @@
     Stream->pauseReading(false);
 }
 
+/// Decided when the response is sent: closing drops the requests behind it.
+bool caller_connection::closesAfter(const caller_exchange &Exchange) const {
+  if (!Exchange.KeepAlive)
+    return true;
+  if (!Context->Stopping || !Pending.empty())
+    return false;
+  const bool Receiving = (Decoder && Decoder->hasStarted()) || !Buffer.empty();
+  return !Receiving || !Context->ReadsFollowing;
+}
+
 void caller_connection::closeGracefully() {
   ClosingGracefully = true;
   ReadingDone = true;
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -29,7 +29,7 @@
 
   /// Sends the response after those to earlier requests. If \p Close is set the
   /// connection is closed afterwards. Only the first call has an effect.
-  void respond(const http_response_message &Response, bool Close = false);
+  void respond(http_response_message Response, bool Close = false);
 
   /// Called if the connection ends before the response.
   std::function<void(connection_end)> OnDisconnected;
@@ -43,9 +43,8 @@
   std::weak_ptr<caller_connection> Connection;
   body_reservation Share; ///< The body's share of the body budget.
   bool IsHeadRequest = false;
-  std::string Bytes; ///< The encoded response.
+  http_response_message Response; ///< Waits for its turn.
   bool Responded = false;
-  bool CloseAfter = false;
   bool KeepAlive = true;
 };
 
@@ -74,7 +73,9 @@
   struct context {
     caller_limits Limits;
     std::shared_ptr<body_budget> Bodies; ///< No limit if null.
-    bool Stopping = false; ///< Responses announce that the connection closes.
+    bool Stopping = false; ///< The last response of a connection closes it.
+    /// Requests that follow others are read while the gateway stops.
+    bool ReadsFollowing = true;
     request_counts Counts;
     std::function<void(std::shared_ptr<caller_exchange>)> Serve;
     std::function<void(const std::shared_ptr<caller_connection> &)> Opened;
@@ -116,11 +117,13 @@
   void end(connection_end By);
   bool awaitsFirstRequest() const;
   void decodeAll();
+  bool mayDecode() const;
   void serveDecoded();
   void fail(int Status);
   void refuseMemoryFull();
   void fail(const http_response_message &Response);
   void sendResponsesInOrder();
+  bool closesAfter(const caller_exchange &Exchange) const;
   void closeGracefully();
   void cancelPending(connection_end By);
   void logDropped() const;
--- a/src/gateway/listener.cpp
+++ b/src/gateway/listener.cpp
@@ -75,6 +75,7 @@
   for (int I = 0; I < Backlog && acceptNext(); ++I) {
   }
   Accepts = false;
+  Context->ReadsFollowing = false;
   Loop.unwatch(Socket);
   Socket.close();
 }
--- a/src/gateway/listener.h
+++ b/src/gateway/listener.h
@@ -31,7 +31,8 @@
   }
 
   /// Accepts the connections that wait and closes the listening socket, so that
-  /// the system refuses later ones.
+  /// the system refuses later ones. Requests that follow others on a connection
+  /// are not read any more.
   void stopAccepting();
 
   /// Reads what has arrived on every connection.
@@ -40,7 +41,7 @@
   /// Closes every connection, whatever it is doing.
   void closeAll();
 
-  /// Makes every response from now on announce that its connection closes.
+  /// From now on each connection closes after the response to its last request.
   void closeAfterResponses() { Context->Stopping = true; }
   void closeIdle();
   std::size_t connections() const { return Open.size(); }
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -348,7 +348,7 @@
                       formatLabel("reason", reasonName(Response.Reason)));
   if (!ActiveRequest->Exchange)
     return;
-  ActiveRequest->Exchange->respond(Served ? Response.Response
+  ActiveRequest->Exchange->respond(Served ? std::move(Response.Response)
                                           : makeRefusal(Response));
   ActiveRequest->Exchange = nullptr;
 }
