--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -5,6 +5,8 @@
 #include "../core/log.h"
 #include "agatedale/verdict.h"
 
+#include <algorithm>
+
 namespace agatedale {
 
 namespace {
@@ -18,19 +20,22 @@
 /// Time that a caller gets to close the connection after the last response.
 constexpr duration LingerTime = std::chrono::seconds(1);
 
+/// Time for the first request of a new connection to arrive before the
+/// connection counts as idle.
+constexpr duration FirstRequestTime = std::chrono::milliseconds(200);
+
 } // namespace
 
-void caller_exchange::respond(const http_response_message &Response,
-                              bool Close) {
+void caller_exchange::respond(http_response_message NewResponse, bool Close) {
   if (Responded)
     return;
   Responded = true;
-  OnCallerDisconnected = nullptr;
+  OnDisconnected = nullptr;
   const std::shared_ptr<caller_connection> Owner = Connection.lock();
   if (!Owner)
     return;
-  CloseAfter = Close || !KeepAlive || Owner->Context->Stopping;
-  Bytes = encodeResponse(Response, IsHeadRequest, CloseAfter);
+  Response = std::move(NewResponse);
+  KeepAlive = KeepAlive && !Close;
   Owner->sendResponsesInOrder();
 }
 
@@ -75,9 +80,17 @@
 }
 
 void caller_connection::onTimeout() {
+  const auto Self = shared_from_this();
+  Timer = 0;
+  // The event loop may be late: what has arrived by now is not overdue.
+  Stream->readNow();
+  if (Stream->isClosed() || ClosingGracefully || Timer != 0)
+    return;
   const bool Receiving = Decoder && Decoder->hasStarted();
   if (!Receiving) {
     closeIfIdle();
+    if (!Stream->isClosed() && !ClosingGracefully)
+      armTimer();
     return;
   }
   // A body may take any time while its bytes arrive.
@@ -90,15 +103,18 @@
 }
 
 void caller_connection::onReceived(std::string_view Bytes) {
-  if (ClosingGracefully)
+  // Behind a response that closes the connection nothing counts as read.
+  const bool ClosesAfterPending = !Context->ReadsFollowing && !Pending.empty();
+  if (ClosingGracefully || ClosesAfterPending)
     return;
+  HasReceived = true;
   Buffer.append(Bytes);
   decodeAll();
 }
 
 void caller_connection::decodeAll() {
   const auto Self = shared_from_this();
-  while (!ReadingDone && Pending.size() < MaxPipelined && !Buffer.empty()) {
+  while (mayDecode() && !Buffer.empty()) {
     if (!Decoder) {
       const caller_limits &Limits = Context->Limits;
       Decoder = std::make_unique<request_decoder>(
@@ -133,6 +149,11 @@
     Stream->pauseReading(PipelineFull);
 }
 
+bool caller_connection::mayDecode() const {
+  const bool MayFollow = Pending.empty() || Context->ReadsFollowing;
+  return !ReadingDone && MayFollow && Pending.size() < MaxPipelined;
+}
+
 void caller_connection::serveDecoded() {
   const auto Exchange = std::make_shared<caller_exchange>();
   Exchange->KeepAlive = Decoder->keepsAlive();
@@ -144,6 +165,7 @@
   ReadingDone = !Exchange->KeepAlive;
   Decoder.reset();
   Pending.push_back(Exchange);
+  ++Context->Counts.Received;
   armTimer();
   Context->Serve(Exchange);
 }
@@ -178,8 +200,10 @@
   while (!ClosingGracefully && !Pending.empty() && Pending.front()->Responded) {
     const std::shared_ptr<caller_exchange> Exchange = Pending.front();
     Pending.pop_front();
-    Stream->send(Exchange->Bytes);
-    if (Exchange->CloseAfter) {
+    const bool Close = closesAfter(*Exchange);
+    Stream->send(
+        encodeResponse(Exchange->Response, Exchange->IsHeadRequest, Close));
+    if (Close) {
       closeGracefully();
       return;
     }
@@ -194,38 +218,79 @@
     Stream->pauseReading(false);
 }
 
+/// Decided when the response is sent: closing drops the requests behind it.
+bool caller_connection::closesAfter(const caller_exchange &Exchange) const {
+  if (!Exchange.KeepAlive)
+    return true;
+  if (!Context->Stopping || !Pending.empty())
+    return false;
+  const bool Receiving = (Decoder && Decoder->hasStarted()) || !Buffer.empty();
+  return !Receiving || !Context->ReadsFollowing;
+}
+
 void caller_connection::closeGracefully() {
   ClosingGracefully = true;
   ReadingDone = true;
-  cancelPending();
+  cancelPending(connection_end::ByGateway);
   Buffer.clear();
   Stream->pauseReading(false);
   Stream->finishSending();
+  armLingerTimer();
+}
+
+void caller_connection::armLingerTimer() {
   Loop.cancel(Timer);
   const std::weak_ptr<caller_connection> Weak = weak_from_this();
-  Timer = Loop.after(LingerTime, [Weak] {
+  Timer = Loop.after(LingerTime, [Weak, Sent = Stream->bytesSent()] {
     if (const auto Self = Weak.lock())
-      Self->onEnded();
+      Self->onLingerTimeout(Sent);
   });
 }
 
-void caller_connection::cancelPending() {
+/// Waits on while the caller reads a long response.
+void caller_connection::onLingerTimeout(std::uint64_t SentBefore) {
+  if (Stream->hasUnsent() && Stream->bytesSent() > SentBefore)
+    armLingerTimer();
+  else
+    end(connection_end::ByGateway);
+}
+
+void caller_connection::logDropped() const {
+  const auto Answered = static_cast<std::size_t>(
+      std::count_if(Pending.begin(), Pending.end(),
+                    [](const auto &Exchange) { return Exchange->Responded; }));
+  const held_bytes Held = heldBytes();
+  Context->Counts.Dropped += Pending.size();
+  logLine(log_level::Warning, "requests-dropped",
+          {{"in_progress", Pending.size() - Answered},
+           {"answered", Answered},
+           {"undecoded_bytes", Held.Undecoded},
+           {"unread_bytes", Held.Unread}});
+}
+
+void caller_connection::cancelPending(connection_end By) {
+  if (By == connection_end::ByGateway && !Pending.empty())
+    logDropped();
   const auto CancelledExchanges = std::move(Pending);
   Pending.clear();
   for (const std::shared_ptr<caller_exchange> &Exchange : CancelledExchanges) {
-    const auto OnCallerDisconnected = std::move(Exchange->OnCallerDisconnected);
-    Exchange->OnCallerDisconnected = nullptr;
+    const auto OnDisconnected = std::move(Exchange->OnDisconnected);
+    Exchange->OnDisconnected = nullptr;
     Exchange->Connection.reset();
-    if (OnCallerDisconnected)
-      OnCallerDisconnected();
+    if (OnDisconnected)
+      OnDisconnected(By);
   }
 }
 
-void caller_connection::onEnded() {
+void caller_connection::onEnded() { end(connection_end::ByCaller); }
+
+void caller_connection::close() { end(connection_end::ByGateway); }
+
+void caller_connection::end(connection_end By) {
   const auto Self = shared_from_this();
   Loop.cancel(Timer);
   Stream->close();
-  cancelPending();
+  cancelPending(By);
   Context->Closed(Self);
 }
 
@@ -234,9 +299,30 @@
   return Pending.empty() && !Receiving && !ClosingGracefully;
 }
 
+caller_connection::held_bytes caller_connection::heldBytes() const {
+  // The body that is being received is held by the decoder.
+  const std::size_t Decoding = Decoder ? Decoder->bodyBytes() : 0;
+  return {Stream->unreadBytes(), Buffer.size() + Decoding,
+          Stream->unsentBytes()};
+}
+
 void caller_connection::closeIfIdle() {
-  if (isIdle())
+  const auto Self = shared_from_this();
+  if (!isIdle())
+    return;
+  Stream->readNow();
+  if (Stream->isClosed() || !isIdle() || awaitsFirstRequest())
+    return;
+  // Reading on would accept requests that cannot be answered; the system resets
+  // the connection if one arrives, which tells the caller that it was not read.
+  if (Stream->hasUndelivered())
     closeGracefully();
+  else
+    close();
+}
+
+bool caller_connection::awaitsFirstRequest() const {
+  return !HasReceived && bootNow() - OpenedAt < FirstRequestTime;
 }
 
 } // namespace agatedale
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -7,6 +7,8 @@
 #include "http_codec.h"
 #include "tcp_stream.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -16,6 +18,9 @@
 
 class caller_connection;
 
+/// Which side ended a connection.
+enum class connection_end { ByCaller, ByGateway };
+
 /// One request of a caller and its response.
 class caller_exchange {
 public:
@@ -24,20 +29,22 @@
 
   /// Sends the response after those to earlier requests. If \p Close is set the
   /// connection is closed afterwards. Only the first call has an effect.
-  void respond(const http_response_message &Response, bool Close = false);
+  void respond(http_response_message Response, bool Close = false);
 
-  /// Called if the caller disconnects before the response.
-  std::function<void()> OnCallerDisconnected;
+  /// Called if the connection ends before the response.
+  std::function<void(connection_end)> OnDisconnected;
 
 private:
   friend class caller_connection;
 
+  /// Which side ended a connection.
+  enum class connection_end { ByCaller, ByGateway };
+
   std::weak_ptr<caller_connection> Connection;
   body_reservation Share; ///< The body's share of the body budget.
   bool IsHeadRequest = false;
-  std::string Bytes; ///< The encoded response.
+  http_response_message Response; ///< Waits for its turn.
   bool Responded = false;
-  bool CloseAfter = false;
   bool KeepAlive = true;
 };
 
@@ -49,11 +56,27 @@
 class caller_connection
     : public std::enable_shared_from_this<caller_connection> {
 public:
+  /// Requests of all connections of a listener since its start.
+  struct request_counts {
+    std::uint64_t Received = 0;
+    std::uint64_t Dropped = 0; ///< Read, and the gateway closed unanswered.
+  };
+
+  /// Bytes that a connection holds in one direction or the other.
+  struct held_bytes {
+    std::size_t Unread = 0;    ///< In the socket.
+    std::size_t Undecoded = 0; ///< Read, but not part of a whole request yet.
+    std::size_t Unsent = 0;
+  };
+
   /// The state that all connections of a listener share.
   struct context {
     caller_limits Limits;
     std::shared_ptr<body_budget> Bodies; ///< No limit if null.
-    bool Stopping = false; ///< Responses announce that the connection closes.
+    bool Stopping = false; ///< The last response of a connection closes it.
+    /// Requests that follow others are read while the gateway stops.
+    bool ReadsFollowing = true;
+    request_counts Counts;
     std::function<void(std::shared_ptr<caller_exchange>)> Serve;
     std::function<void(const std::shared_ptr<caller_connection> &)> Opened;
     std::function<void(const std::shared_ptr<caller_connection> &)> Closed;
@@ -62,10 +85,18 @@
   static void open(event_loop &Loop, const Poco::Net::StreamSocket &Socket,
                    std::shared_ptr<context> Context);
 
-  /// Closes the connection if no request is being received or served.
+  /// Closes the connection if no request has arrived, is being received or
+  /// served. A request that arrives later is not read.
   void closeIfIdle();
   bool isIdle() const;
 
+  /// Reads what has arrived.
+  void readNow() { Stream->readNow(); }
+
+  /// Closes the connection at once and drops its requests.
+  void close();
+  held_bytes heldBytes() const;
+
 private:
   friend class caller_exchange;
 
@@ -81,14 +112,21 @@
   void onEnded();
   void onTimeout();
   void armTimer();
+  void armLingerTimer();
+  void onLingerTimeout(std::uint64_t SentBefore);
+  void end(connection_end By);
+  bool awaitsFirstRequest() const;
   void decodeAll();
+  bool mayDecode() const;
   void serveDecoded();
   void fail(int Status);
   void refuseMemoryFull();
   void fail(const http_response_message &Response);
   void sendResponsesInOrder();
+  bool closesAfter(const caller_exchange &Exchange) const;
   void closeGracefully();
-  void cancelPending();
+  void cancelPending(connection_end By);
+  void logDropped() const;
 
   event_loop &Loop;
   std::shared_ptr<context> Context;
@@ -97,6 +135,8 @@
   std::unique_ptr<request_decoder> Decoder;
   body_reservation Share; ///< The share of the request that is being received.
   bool ContinueSent = false;
+  time_point OpenedAt = bootNow();
+  bool HasReceived = false;
   std::deque<std::shared_ptr<caller_exchange>> Pending;
   bool ReadingDone = false;
   bool ClosingGracefully = false;
--- a/src/gateway/listener.h
+++ b/src/gateway/listener.h
@@ -30,19 +30,38 @@
     Context->Bodies = std::move(Bodies);
   }
 
-  /// Makes every response from now on announce that its connection closes.
+  /// Accepts the connections that wait and closes the listening socket, so that
+  /// the system refuses later ones. Requests that follow others on a connection
+  /// are not read any more.
+  void stopAccepting();
+
+  /// Reads what has arrived on every connection.
+  void readAll();
+
+  /// Closes every connection, whatever it is doing.
+  void closeAll();
+
+  /// From now on each connection closes after the response to its last request.
   void closeAfterResponses() { Context->Stopping = true; }
   void closeIdle();
   std::size_t connections() const { return Open.size(); }
 
+  /// Returns the sum of what all connections hold.
+  caller_connection::held_bytes heldBytes() const;
+  const caller_connection::request_counts &counts() const {
+    return Context->Counts;
+  }
+
 private:
   listener(event_loop &Loop, serve Serve);
-  void acceptAll();
+  void acceptReady();
+  bool acceptNext();
 
   event_loop &Loop;
   Poco::Net::ServerSocket Socket;
   std::shared_ptr<caller_connection::context> Context;
   std::set<std::shared_ptr<caller_connection>> Open;
+  bool Accepts = true;
 };
 
 } // namespace agatedale
--- a/src/gateway/tcp_stream.cpp
+++ b/src/gateway/tcp_stream.cpp
@@ -7,7 +7,9 @@
 #include <Poco/Net/NetException.h>
 
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 
@@ -79,18 +81,22 @@
   const std::weak_ptr<tcp_stream> Weak = weak_from_this();
   Loop.watch(Socket, Modes, [Weak](int Ready) {
     const std::shared_ptr<tcp_stream> Stream = Weak.lock();
-    if (!Stream)
-      return;
-    try {
-      Stream->onReady(Ready);
-    } catch (const std::exception &Failure) {
-      // Its state is not known any more, so that only this connection ends.
-      logLine(log_level::Error, "connection-failed", {{"why", Failure.what()}});
-      Stream->end(stream_end::Reset);
-    }
+    if (Stream)
+      Stream->runGuarded([&Stream, Ready] { Stream->onReady(Ready); });
   });
 }
 
+/// Runs \p Run. After an exception the state of the connection is not known any
+/// more, so that only this connection ends.
+template <typename Handler> void tcp_stream::runGuarded(const Handler &Run) {
+  try {
+    Run();
+  } catch (const std::exception &Failure) {
+    logLine(log_level::Error, "connection-failed", {{"why", Failure.what()}});
+    end(stream_end::Reset);
+  }
+}
+
 void tcp_stream::updateModes() {
   if (Closed)
     return;
@@ -158,6 +164,31 @@
   }
 }
 
+void tcp_stream::readNow() {
+  const std::shared_ptr<tcp_stream> Self = shared_from_this();
+  if (Connected && !Closed)
+    runGuarded([this] { onReadable(); });
+}
+
+bool tcp_stream::hasUndelivered() const {
+  if (Closed)
+    return false;
+  int Unconfirmed = 0;
+  if (::ioctl(Socket.impl()->sockfd(), TIOCOUTQ, &Unconfirmed) != 0)
+    Unconfirmed = 0;
+  return hasUnsent() || Unconfirmed > 0;
+}
+
+std::size_t tcp_stream::unreadBytes() const {
+  if (Closed)
+    return 0;
+  try {
+    return static_cast<std::size_t>(std::max(Socket.available(), 0));
+  } catch (const Poco::Exception &) {
+    return 0; // The connection is broken; its end is reported when it is read.
+  }
+}
+
 void tcp_stream::send(std::string_view Bytes) {
   if (Closed || SendShutdownDone || SendFailed)
     return;
--- a/src/gateway/tcp_stream.h
+++ b/src/gateway/tcp_stream.h
@@ -45,6 +45,9 @@
 
   void send(std::string_view Bytes);
 
+  /// Reads what has arrived, without waiting for the event loop's next turn.
+  void readNow();
+
   /// Pauses or resumes reading, to apply backpressure to the peer.
   void pauseReading(bool Pause);
 
@@ -60,6 +63,14 @@
   bool isClosed() const { return Closed; }
   bool hasUnsent() const { return UnsentOffset < Unsent.size(); }
 
+  std::size_t unsentBytes() const { return Unsent.size() - UnsentOffset; }
+
+  /// Returns true if the peer's system has not confirmed all data.
+  bool hasUndelivered() const;
+
+  /// Returns the number of received bytes that wait in the socket.
+  std::size_t unreadBytes() const;
+
   /// Returns the number of bytes that the socket has accepted.
   std::uint64_t bytesSent() const { return BytesSent; }
 
@@ -68,6 +79,7 @@
       : Loop(Loop), Handlers(std::move(Handlers)) {}
 
   void start(bool IsConnected);
+  template <typename Handler> void runGuarded(const Handler &Run);
   void onReady(int Modes);
   void onConnected();
   void onReadable();
