Test processes inherit no socket of the program that starts them

Cause: sockets of the soak (callers, proxies) are not closed at exec, so a gateway that is started at that moment keeps a copy of them, and the end of a connection does not reach the caller until that process ends.

--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -17,6 +17,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <limits>
 #include <random>
 #include <sstream>
 
@@ -110,6 +111,8 @@
     const int File = ::open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(File, STDERR_FILENO);
     ::dup2(File, STDOUT_FILENO);
+    // A copy of a caller's socket would keep the connection from ending.
+    ::close_range(STDERR_FILENO + 1, std::numeric_limits<unsigned>::max(), 0);
     std::vector<char *> Arguments;
     Arguments.reserve(Words.size() + 1);
     for (const std::string &Word : Words)
