Restored store: the era orders versions before their number

Cause: the replica, the relay and every cache ordered versions by number alone.

Now a version is an era and a number, in one type, over every path that it takes: answers and writes of the store, rows, positions, change lists, the relay and its pacer, decoded rows, the row of the VM itself. Peers that report no eras are taken to be in the replica's. A row of an own that the copy lacks is written again, spread like the rows of a fleet that restarts; one that a stopping VM had removed is removed again. A second 410 or gap without a list of changes in between backs off.

--- a/include/agatedale/store_follower.h
+++ b/include/agatedale/store_follower.h
@@ -39,7 +39,7 @@
   store_table Table = store_table::Operators;
   bool IsSnapshot = false;
   bool IsOwnZoneOnly = false; ///< Only the rows of the VMs of the own zone.
-  std::uint64_t After = 0;
+  store_version After;
   std::chrono::milliseconds Wait{0};
 };
 
@@ -47,7 +47,8 @@
 /// the changes; any other VM reads it only when its relayed replica is too old.
 /// The store numbers the changes of all tables in one sequence, so an answer
 /// about one table also confirms every table that is complete up to the same
-/// version.
+/// version. When the store has been restored from a copy, every table is read
+/// as a snapshot again.
 ///
 ///   if (const auto Read = Follower.next(Mirror, Rank, Now)) carryOut(*Read);
 class store_follower {
@@ -70,9 +71,10 @@
   }
 
   /// Records a successful answer, an answer that the requested history has been
-  /// truncated, or a failed read.
+  /// truncated, or a failed read. A truncation that follows another one without
+  /// a list of changes in between counts as a failure.
   void onAnswer(store_table Table, bool IsSnapshot);
-  void onHistoryTruncated(store_table Table) { NeedsSnapshot.insert(Table); }
+  void onHistoryTruncated(store_table Table, time_point Now);
   void onFailure(time_point Now);
 
 private:
@@ -82,6 +84,7 @@
   std::optional<time_point> FirstPollAt;
   int LastRank = 0;
   int Failures = 0;
+  int Truncations = 0; ///< Since the last list of changes.
   time_point BackoffUntil{};
 };
 
--- a/include/agatedale/store_mirror.h
+++ b/include/agatedale/store_mirror.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "agatedale/clock.h"
+#include "agatedale/store_version.h"
 
 #include <array>
 #include <cstdint>
@@ -26,16 +27,16 @@
 struct stored_row {
   std::string Key;
   std::string Value;
-  std::uint64_t Version = 0;
+  store_version Version;
   bool Removed = false;
 };
 
 /// The changes of one table between two store versions, or a snapshot of it.
 struct table_update {
   store_table Table = store_table::Operators;
-  std::uint64_t Since = 0;    ///< Lists changes after this version.
-  std::uint64_t Position = 0; ///< Lists changes up to this version.
-  bool IsSnapshot = false;    ///< Lists every row; all others do not exist.
+  store_version Since;     ///< Lists changes after this version.
+  store_version Position;  ///< Lists changes up to this version.
+  bool IsSnapshot = false; ///< Lists every row; all others do not exist.
   time_point AsOf{}; ///< The store was in this state at this time or later.
   std::vector<stored_row> Rows;
 };
@@ -43,7 +44,8 @@
 /// The local replica of the store's tables. For each table it keeps the version
 /// up to which the table is complete and the latest time for which the store
 /// confirmed that version. State never moves backwards: a row older than the
-/// one held is ignored, whichever source it comes from.
+/// one held is ignored, whichever source it comes from. An update of an earlier
+/// era is ignored as a whole; a snapshot of a later one replaces the table.
 ///
 ///   store_mirror Mirror;
 ///   if (Mirror.apply(Update) == apply_result::Changed) decode(Mirror);
@@ -53,20 +55,22 @@
   enum class apply_result { Unchanged, Changed, Gap };
 
   /// Merges an update from the store or from a peer. Returns Gap, and changes
-  /// nothing, if the update starts after the position reached here.
+  /// nothing, if the update starts after the position reached here or lists
+  /// changes of a later era.
   apply_result apply(const table_update &Update);
 
   /// Records that the store's newest version was \p Newest at \p AsOf. Tables
   /// that are complete up to \p Newest become current as of \p AsOf.
-  void confirmUpTo(std::uint64_t Newest, time_point AsOf);
+  void confirmUpTo(store_version Newest, time_point AsOf);
 
   /// Returns the changes of \p Table after \p Position, or a snapshot if
-  /// \p Position is 0 or precedes the tombstones that are still kept.
-  table_update updateSince(store_table Table, std::uint64_t Position) const;
+  /// \p Position is unknown, of another era, or precedes the tombstones that
+  /// are still kept.
+  table_update updateSince(store_table Table, store_version Position) const;
 
-  /// Returns the version up to which \p Table is complete; 0 before the first
-  /// snapshot.
-  std::uint64_t position(store_table Table) const {
+  /// Returns the version up to which \p Table is complete; unknown before the
+  /// first snapshot.
+  store_version position(store_table Table) const {
     return tableState(Table).Position;
   }
 
@@ -96,18 +100,19 @@
   static constexpr std::size_t MaxTombstones = 4096;
 
   struct table {
-    std::uint64_t Position = 0;
+    store_version Position;
     std::uint64_t Revision = 0;
     /// Removals up to this version may have no tombstone any more.
-    std::uint64_t TombstonesPrunedUpTo = 0;
+    store_version TombstonesPrunedUpTo;
     time_point AsOf{};
     std::map<std::string, stored_row> Rows;
-    std::map<std::string, std::uint64_t> Tombstones;
+    std::map<std::string, store_version> Tombstones;
   };
 
   const table &tableState(store_table Table) const {
     return Tables[static_cast<std::size_t>(Table)];
   }
+  static bool isReplacedBy(const table &Table, const table_update &Update);
   static bool applyRow(table &Table, const stored_row &Row);
   static bool dropUnlisted(table &Table, const table_update &Update);
   static void pruneTombstones(table &Table);
--- a/include/agatedale/update_pacer.h
+++ b/include/agatedale/update_pacer.h
@@ -36,7 +36,7 @@
 
   /// Records the position that \p Peer has reached in \p Table.
   void recordPosition(const std::string &Peer, store_table Table,
-                      std::uint64_t Position) {
+                      store_version Position) {
     const auto Found = InFlight.find({Peer, Table});
     if (Found == InFlight.end())
       return;
@@ -70,8 +70,8 @@
 
 private:
   struct update {
-    std::uint64_t Since = 0;
-    std::uint64_t Position = 0;
+    store_version Since;
+    store_version Position;
     time_point SentAt{};
     duration Timeout{};
   };
--- a/src/core/store_follower.cpp
+++ b/src/core/store_follower.cpp
@@ -21,16 +21,16 @@
   // The VMs of the zone come first: the hubs among them can send all tables. A
   // fleet that starts would take a link between regions for seconds if every VM
   // read the whole list.
-  if (Mirror.position(store_table::Vms) == 0) {
+  if (!Mirror.position(store_table::Vms).isKnown()) {
     if (!IsZoneKnown)
       return store_read{.Table = store_table::Vms, .IsOwnZoneOnly = true};
     if (AwaitsInitialSnapshot)
       return std::nullopt;
     return store_read{.Table = store_table::Vms, .IsSnapshot = true};
   }
-  std::uint64_t Newest = 0;
+  store_version Newest;
   for (const store_table Table : AllStoreTables) {
-    const bool NeverRead = Mirror.position(Table) == 0;
+    const bool NeverRead = !Mirror.position(Table).isKnown();
     if (NeverRead && AwaitsInitialSnapshot)
       return std::nullopt;
     if (NeverRead || NeedsSnapshot.contains(Table))
@@ -42,8 +42,11 @@
   if (Rank > 0 && Now - Mirror.asOf() < MaxAge)
     return std::nullopt;
   for (const store_table Table : AllStoreTables) {
-    if (Mirror.position(Table) < Newest)
-      return store_read{.Table = Table, .After = Mirror.position(Table)};
+    const store_version Position = Mirror.position(Table);
+    if (Position.Era < Newest.Era)
+      return store_read{.Table = Table, .IsSnapshot = true};
+    if (Position < Newest)
+      return store_read{.Table = Table, .After = Position};
   }
   // Only the reader long-polls; other VMs need just the current version.
   const auto Wait =
@@ -58,6 +61,16 @@
   BackoffUntil = time_point{};
   if (IsSnapshot)
     NeedsSnapshot.erase(Table);
+  else
+    Truncations = 0;
+}
+
+void store_follower::onHistoryTruncated(store_table Table, time_point Now) {
+  NeedsSnapshot.insert(Table);
+  if (Truncations++ == 0)
+    return;
+  Failures = std::max(Failures, Truncations - 2);
+  onFailure(Now);
 }
 
 void store_follower::onFailure(time_point Now) {
--- a/src/core/store_mirror.cpp
+++ b/src/core/store_mirror.cpp
@@ -54,17 +54,28 @@
   }
 }
 
+/// Returns true if \p Update is the first snapshot, or that of a later era.
+bool store_mirror::isReplacedBy(const table &Table,
+                                const table_update &Update) {
+  return !Table.Position.isKnown() || Update.Position.Era > Table.Position.Era;
+}
+
 store_mirror::apply_result store_mirror::apply(const table_update &Update) {
   table &Table = Tables[static_cast<std::size_t>(Update.Table)];
-  if (!Update.IsSnapshot &&
-      (Update.Since > Table.Position || Table.Position == 0))
+  if (Update.Position.Era < Table.Position.Era)
+    return apply_result::Unchanged;
+  const bool IsReplaced = isReplacedBy(Table, Update);
+  if (!Update.IsSnapshot && (IsReplaced || Update.Since > Table.Position))
     return apply_result::Gap;
-  bool Changed = Table.Position == 0;
+  // The numbers of another era have no order with those of the update.
+  if (IsReplaced)
+    Table.Tombstones.clear();
+  bool Changed = IsReplaced;
   for (const stored_row &Row : Update.Rows)
     Changed = applyRow(Table, Row) || Changed;
   if (Update.IsSnapshot) {
     Changed = dropUnlisted(Table, Update) || Changed;
-    if (Table.Position == 0)
+    if (IsReplaced)
       Table.TombstonesPrunedUpTo = Update.Position;
   }
   pruneTombstones(Table);
@@ -73,22 +84,24 @@
   return Changed ? apply_result::Changed : apply_result::Unchanged;
 }
 
-void store_mirror::confirmUpTo(std::uint64_t Newest, time_point AsOf) {
+void store_mirror::confirmUpTo(store_version Newest, time_point AsOf) {
   for (table &Table : Tables) {
-    if (Table.Position >= Newest)
+    if (Table.Position.Era == Newest.Era && Table.Position >= Newest)
       Table.AsOf = std::max(Table.AsOf, AsOf);
   }
 }
 
 table_update store_mirror::updateSince(store_table Which,
-                                       std::uint64_t Position) const {
+                                       store_version Position) const {
   const table &Table = tableState(Which);
   table_update Update;
   Update.Table = Which;
   Update.Since = Position;
   Update.Position = Table.Position;
   Update.AsOf = Table.AsOf;
-  Update.IsSnapshot = Position == 0 || Position < Table.TombstonesPrunedUpTo;
+  Update.IsSnapshot = !Position.isKnown() ||
+                      Position.Era != Table.Position.Era ||
+                      Position < Table.TombstonesPrunedUpTo;
   for (const auto &[Key, Row] : Table.Rows) {
     if (Update.IsSnapshot || Row.Version > Position)
       Update.Rows.push_back(Row);
@@ -110,8 +123,9 @@
 }
 
 bool store_mirror::isComplete() const {
-  return std::all_of(Tables.begin(), Tables.end(),
-                     [](const table &Table) { return Table.Position > 0; });
+  return std::all_of(Tables.begin(), Tables.end(), [](const table &Table) {
+    return Table.Position.isKnown();
+  });
 }
 
 } // namespace agatedale
--- a/src/gateway/decoded_rows.h
+++ b/src/gateway/decoded_rows.h
@@ -55,7 +55,7 @@
     Values.insert_or_assign(Key, valueOf(Decoded));
   }
 
-  std::map<std::string, std::uint64_t> Versions;
+  std::map<std::string, store_version> Versions;
   std::map<std::string, T> Values;
 };
 
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -8,6 +8,8 @@
 #include "platform/decode.h"
 #include "platform/names.h"
 
+#include <fmt/format.h>
+
 namespace agatedale {
 
 namespace {
@@ -81,7 +83,7 @@
 void fleet_state::onZoneRead(std::span<const stored_row> Rows) {
   Follower.onZoneRead();
   // A hub may have sent the whole list in the meantime.
-  if (Mirror.position(store_table::Vms) > 0)
+  if (Mirror.position(store_table::Vms).isKnown())
     return;
   for (const stored_row &Row : Rows) {
     const auto Vm = platform::decodeVm(Row.Key, Row.Value);
@@ -103,7 +105,7 @@
   if (!Failure)
     return;
   if (Failure->Kind == error_kind::NotFound)
-    Follower.onHistoryTruncated(Table);
+    Follower.onHistoryTruncated(Table, bootNow());
   else
     Follower.onFailure(bootNow());
   logLine(log_level::Warning, "store-read-failed",
@@ -114,8 +116,9 @@
 
 void fleet_state::onRead(const store_read &Read,
                          const result<table_update> &Update) {
-  endRead(Read.Table, errorOf(Update));
-  if (errorOf(Update))
+  const std::optional<error> Failure = failureOf(Update);
+  endRead(Read.Table, Failure ? &*Failure : nullptr);
+  if (Failure)
     return;
   Follower.onAnswer(Read.Table, Read.IsSnapshot);
   apply(valueOf(Update));
@@ -124,9 +127,43 @@
   tick();
 }
 
+/// Returns why a read cannot be applied, if so.
+std::optional<error>
+fleet_state::failureOf(const result<table_update> &Read) const {
+  if (const error *Error = errorOf(Read))
+    return *Error;
+  const table_update &Update = valueOf(Read);
+  const store_version Known = Mirror.position(Update.Table);
+  if (Update.Position.Era < Known.Era)
+    return error{error_kind::Unavailable,
+                 fmt::format("answer of era {}, expected {} or later",
+                             Update.Position.Era, Known.Era)};
+  if (!Update.IsSnapshot && Update.Position.Era > Known.Era)
+    return error{error_kind::NotFound,
+                 fmt::format("changes of era {} after a version of era {}",
+                             Update.Position.Era, Known.Era)};
+  return std::nullopt;
+}
+
 void fleet_state::applyPeerUpdate(const table_update &Update) { apply(Update); }
 
+void fleet_state::logEra(const table_update &Update) const {
+  const store_version Known = Mirror.position(Update.Table);
+  if (!Known.isKnown() || Update.Position.Era <= Known.Era)
+    return;
+  logLine(
+      log_level::Warning, "store-restored",
+      {{"table", platform::tableName(Update.Table)},
+       {"era_before", Known.Era},
+       {"era", Update.Position.Era},
+       {"position_before", Known.Number},
+       {"position", Update.Position.Number},
+       {"snapshot", Update.IsSnapshot},
+       {"replica_age_ms", toMillis(bootNow() - Mirror.asOf(Update.Table))}});
+}
+
 void fleet_state::apply(const table_update &Update) {
+  logEra(Update);
   const store_mirror::apply_result Result = Mirror.apply(Update);
   // The end of an outage starts the grace period, which rebuild() depends on.
   checkStoreAge();
@@ -142,7 +179,7 @@
 }
 
 std::vector<entry_vm> fleet_state::listedVms() {
-  if (Mirror.position(store_table::Vms) == 0)
+  if (!Mirror.position(store_table::Vms).isKnown())
     return ZoneVms;
   VmRows.update(Mirror.rows(store_table::Vms), platform::decodeVm);
   std::vector<entry_vm> Listed;
@@ -152,10 +189,10 @@
   return Listed;
 }
 
-std::uint64_t fleet_state::vmRowVersion(const std::string &Key) const {
+store_version fleet_state::vmRowVersion(const std::string &Key) const {
   const auto &Rows = Mirror.rows(store_table::Vms);
   const auto Found = Rows.find(Key);
-  return Found == Rows.end() ? 0 : Found->second.Version;
+  return Found == Rows.end() ? store_version() : Found->second.Version;
 }
 
 void fleet_state::decodeConfigurationRow() {
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -63,8 +63,8 @@
   /// until the first snapshot.
   std::vector<entry_vm> listedVms();
 
-  /// Returns the version of a VM's row, or 0 if there is none.
-  std::uint64_t vmRowVersion(const std::string &Key) const;
+  /// Returns the version of a VM's row; unknown if there is none.
+  store_version vmRowVersion(const std::string &Key) const;
 
 private:
   void onRead(const store_read &Read, const result<table_update> &Update);
@@ -72,7 +72,9 @@
   void readZone();
   void onZoneRead(std::span<const stored_row> Rows);
   void checkStoreAge();
+  std::optional<error> failureOf(const result<table_update> &Read) const;
   void apply(const table_update &Update);
+  void logEra(const table_update &Update) const;
   void rebuild();
   void decodeConfigurationRow();
   std::vector<backend_server> decodeServers();
@@ -92,7 +94,7 @@
   std::optional<configuration_parts> ActiveParts;
   std::uint64_t ActiveVersion = 0;
   std::size_t GroupServers = 0; ///< Of the active snapshot.
-  std::uint64_t LastRowVersion = 0;
+  store_version LastRowVersion;
   std::map<std::string, backend_server> LastServers;
   decoded_rows<backend_server> ServerRows;
   decoded_rows<entry_vm> VmRows;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -133,6 +133,7 @@
   void beginRegistration();
   void scheduleRegistration(duration Delay);
   void registerSelf();
+  void removeSelf();
   void updateReady();
   bool isReady() const;
   void checkStop();
@@ -160,7 +161,9 @@
   registration_pacer RegistrationPacer;
   bool IsRegistering = false; ///< A write is scheduled or in progress.
   /// Version of the store in which this process has written its row.
-  std::optional<std::uint64_t> RegisteredAt;
+  std::optional<store_version> RegisteredAt;
+  /// Version of the own row that was last asked to be removed.
+  std::optional<store_version> RemovedVersion;
   std::mt19937_64 Random;
   bool Stopping = false;
   std::optional<stop_sequence> Stop; ///< Set while stopping.
@@ -386,13 +389,20 @@
   // The list may be older than the row.
   const bool IsOlder = RegisteredAt && FleetState->mirror().position(
                                            store_table::Vms) < *RegisteredAt;
+  if (Stopping && HasRow && Own->Id == Self)
+    removeSelf();
   if ((!HasRow || Own->Id != Self) && !IsOlder) {
     const bool IsReachable = HasRow && Own->Ip == Settings.Ip;
     const std::size_t FleetSize = Vms.zoneSize() * Settings.Zones.size();
-    scheduleRegistration(RegisteredAt
-                             ? duration::zero()
-                             : RegistrationPacer.delayOfRestart(
-                                   IsReachable, FleetSize, drawShare()));
+    // After a restore of the store many VMs may lack their row at once.
+    const bool IsRestored =
+        RegisteredAt &&
+        FleetState->mirror().position(store_table::Vms).Era > RegisteredAt->Era;
+    scheduleRegistration(
+        RegisteredAt && !IsRestored
+            ? duration::zero()
+            : RegistrationPacer.delayOfRestart(IsReachable || IsRestored,
+                                               FleetSize, drawShare()));
   }
   scheduleHeartbeats();
 }
@@ -431,7 +441,7 @@
     return;
   Worker->write(
       store_table::Vms, rowKey(Settings.Vm), platform::encodeVm(Vms.self()),
-      [this](const result<std::uint64_t> &Version) {
+      [this](const result<store_version> &Version) {
         IsRegistering = false;
         const error *Error = errorOf(Version);
         if (!Error) {
@@ -445,6 +455,22 @@
       });
 }
 
+/// Removes the own row, again if a restored copy of the store lists it.
+void gateway_node::impl::removeSelf() {
+  const store_version Version = FleetState->vmRowVersion(rowKey(Settings.Vm));
+  if (RemovedVersion == Version)
+    return;
+  RemovedVersion = Version;
+  RowRemains = true;
+  Worker->remove(store_table::Vms, rowKey(Settings.Vm), Version,
+                 [this](const result<store_version> &Done) {
+                   RowRemains = false;
+                   if (const error *Error = errorOf(Done))
+                     logLine(log_level::Warning, "store-write-failed",
+                             {{"row", Settings.Vm}, {"why", Error->Message}});
+                 });
+}
+
 void gateway_node::impl::connectToOwners() {
   const auto Snapshot = FleetState->view();
   if (!Snapshot)
@@ -473,7 +499,7 @@
   for (const std::string &SilentVm : Vms.removableVms(Now)) {
     Worker->remove(store_table::Vms, rowKey(SilentVm),
                    FleetState->vmRowVersion(rowKey(SilentVm)),
-                   [SilentVm](const result<std::uint64_t> &Done) {
+                   [SilentVm](const result<store_version> &Done) {
                      const error *Error = errorOf(Done);
                      logLine(
                          log_level::Info, "vm-removed",
@@ -499,16 +525,8 @@
   updateReady();
   CallerListener->closeAfterResponses();
   Stop = stop_sequence::create(bootNow(), Settings.StopGrace);
-  RowRemains = true;
   sendHeartbeats();
-  Worker->remove(store_table::Vms, rowKey(Settings.Vm),
-                 FleetState->vmRowVersion(rowKey(Settings.Vm)),
-                 [this](const result<std::uint64_t> &Done) {
-                   RowRemains = false;
-                   if (const error *Error = errorOf(Done))
-                     logLine(log_level::Warning, "store-write-failed",
-                             {{"row", Settings.Vm}, {"why", Error->Message}});
-                 });
+  removeSelf();
   checkStop();
 }
 
--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/store_relay.cpp
@@ -23,6 +23,11 @@
 /// Larger updates are refused.
 constexpr std::size_t MaxUpdateBytes = 64 << 20;
 
+void addPosition(wire::Heartbeat &Message, store_version Position) {
+  Message.add_positions(Position.Number);
+  Message.add_eras(Position.Era);
+}
+
 void refuse(const wire::Heartbeat &Message, const error &Error) {
   logLine(log_level::Error, "peer-message-refused",
           {{"why", Error.Message}, {"vm", Message.vm()}});
@@ -46,9 +51,17 @@
 
 } // namespace
 
+store_version
+store_relay::peer_positions::of(store_table Table,
+                                const store_mirror &Mirror) const {
+  const store_version Reported = Tables[static_cast<std::size_t>(Table)];
+  return HasEras ? Reported
+                 : store_version(Mirror.position(Table).Era, Reported.Number);
+}
+
 const store_relay::encoded_update &
 store_relay::encode(const store_mirror &Mirror, store_table Table,
-                    std::uint64_t Since) {
+                    store_version Since) {
   table_cache &Known = Cache[static_cast<std::size_t>(Table)];
   const bool IsOutdated = Known.Revision != Mirror.revision(Table);
   const auto Found = Known.BySince.find(Since);
@@ -73,19 +86,20 @@
 void store_relay::addUpdates(wire::Heartbeat &Message, const std::string &Peer,
                              const store_mirror &Mirror, time_point Now) {
   for (const store_table Table : AllStoreTables)
-    Message.add_positions(Mirror.position(Table));
+    addPosition(Message, Mirror.position(Table));
   const auto Known = PeerPositions.find(Peer);
   if (Known == PeerPositions.end() || !Mirror.isComplete())
     return;
-  const table_positions &Positions = Known->second;
+  const peer_positions &Positions = Known->second;
   std::array<const encoded_update *, AllStoreTables.size()> Due{};
   bool HasSnapshot = false;
   std::size_t Bytes = 0;
   for (const store_table Table : AllStoreTables) {
+    Pacer.recordPosition(Peer, Table, Positions.of(Table, Mirror));
     if (!Pacer.maySend(Peer, Table, Now))
       continue;
     const auto Index = static_cast<std::size_t>(Table);
-    Due[Index] = &encode(Mirror, Table, Positions[Index]);
+    Due[Index] = &encode(Mirror, Table, Positions.of(Table, Mirror));
     HasSnapshot = HasSnapshot || Due[Index]->Update.IsSnapshot;
     Bytes += Due[Index]->Bytes;
   }
@@ -114,12 +128,11 @@
     const wire::Heartbeat &Message, time_point Now,
     const std::function<void(const table_update &Update)> &OnUpdate) {
   if (Message.positions_size() == static_cast<int>(AllStoreTables.size())) {
-    table_positions &Positions = PeerPositions[Message.vm()];
-    std::copy(Message.positions().begin(), Message.positions().end(),
-              Positions.begin());
-    for (const store_table Table : AllStoreTables)
-      Pacer.recordPosition(Message.vm(), Table,
-                           Positions[static_cast<std::size_t>(Table)]);
+    peer_positions &Positions = PeerPositions[Message.vm()];
+    Positions.HasEras = Message.eras_size() == Message.positions_size();
+    for (int I = 0; I < Message.positions_size(); ++I)
+      Positions.Tables[static_cast<std::size_t>(I)] = {
+          Positions.HasEras ? Message.eras(I) : 0, Message.positions(I)};
   }
   const auto Apply = [&](const result<table_update> &Update) {
     if (const error *Error = errorOf(Update))
--- a/src/gateway/store_relay.h
+++ b/src/gateway/store_relay.h
@@ -41,7 +41,14 @@
               const std::function<void(const table_update &Update)> &OnUpdate);
 
 private:
-  using table_positions = std::array<std::uint64_t, AllStoreTables.size()>;
+  /// The positions that a peer has reported. A peer of an older version reports
+  /// no eras; it is taken to be in that of the replica.
+  struct peer_positions {
+    std::array<store_version, AllStoreTables.size()> Tables;
+    bool HasEras = false;
+
+    store_version of(store_table Table, const store_mirror &Mirror) const;
+  };
 
   /// An update as it is sent to every peer of the same position.
   struct encoded_update {
@@ -54,16 +61,16 @@
   /// The encoded updates of one revision of a table, by the peers' position.
   struct table_cache {
     std::uint64_t Revision = 0;
-    std::map<std::uint64_t, encoded_update> BySince;
+    std::map<store_version, encoded_update> BySince;
   };
 
   explicit store_relay(const snapshot_limiter &Limiter)
       : SnapshotLimiter(Limiter) {}
 
   const encoded_update &encode(const store_mirror &Mirror, store_table Table,
-                               std::uint64_t Since);
+                               store_version Since);
 
-  std::map<std::string, table_positions> PeerPositions;
+  std::map<std::string, peer_positions> PeerPositions;
   snapshot_limiter SnapshotLimiter;
   update_pacer Pacer;
   std::array<table_cache, AllStoreTables.size()> Cache;
--- a/src/gateway/store_worker.cpp
+++ b/src/gateway/store_worker.cpp
@@ -101,16 +101,16 @@
                          write_done Done) {
   WriteQueue.add([this, Table, Key = std::move(Key), Value = std::move(Value),
                   Done = std::move(Done)](auto &Client) {
-    const result<std::uint64_t> Result = Client.write(Table, Key, Value);
+    const result<store_version> Result = Client.write(Table, Key, Value);
     Loop.post([Result, Done] { Done(Result); });
   });
 }
 
 void store_worker::remove(store_table Table, std::string Key,
-                          std::uint64_t Version, write_done Done) {
+                          store_version Version, write_done Done) {
   WriteQueue.add([this, Table, Key = std::move(Key), Version,
                   Done = std::move(Done)](auto &Client) {
-    const result<std::uint64_t> Result = Client.remove(Table, Key, Version);
+    const result<store_version> Result = Client.remove(Table, Key, Version);
     Loop.post([Result, Done] { Done(Result); });
   });
 }
--- a/src/gateway/store_worker.h
+++ b/src/gateway/store_worker.h
@@ -26,7 +26,7 @@
   using rows_done =
       std::function<void(const result<std::vector<stored_row>> &Rows)>;
   /// Receives the version of the store after the change.
-  using write_done = std::function<void(const result<std::uint64_t> &Version)>;
+  using write_done = std::function<void(const result<store_version> &Version)>;
 
   static result<std::unique_ptr<store_worker>>
   start(event_loop &Loop, const std::string &Address);
@@ -38,7 +38,7 @@
   void readRange(store_table Table, std::string Prefix, rows_done Done);
   void write(store_table Table, std::string Key, std::string Value,
              write_done Done);
-  void remove(store_table Table, std::string Key, std::uint64_t Version,
+  void remove(store_table Table, std::string Key, store_version Version,
               write_done Done);
 
 private:
--- a/src/gateway/wire_convert.cpp
+++ b/src/gateway/wire_convert.cpp
@@ -131,8 +131,10 @@
 wire::TableNews toMessage(const table_update &Update, time_point Now) {
   wire::TableNews Message;
   Message.set_table(static_cast<std::uint32_t>(Update.Table));
-  Message.set_since(Update.Since);
-  Message.set_position(Update.Position);
+  // The changes since a version of another era are a snapshot.
+  Message.set_since(Update.Since.Number);
+  Message.set_position(Update.Position.Number);
+  Message.set_era(Update.Position.Era);
   Message.set_whole(Update.IsSnapshot);
   Message.set_age_ms(millisUntil(Now, Update.AsOf));
   addRows(Update.Rows, Message);
@@ -144,7 +146,7 @@
     wire::Row &Out = *Message.add_rows();
     Out.set_key(Row.Key);
     Out.set_value(Row.Value);
-    Out.set_version(Row.Version);
+    Out.set_version(Row.Version.Number);
     Out.set_removed(Row.Removed);
   }
 }
@@ -156,13 +158,14 @@
                  "table update names an unknown table"};
   table_update Update;
   Update.Table = static_cast<store_table>(Message.table());
-  Update.Since = Message.since();
-  Update.Position = Message.position();
+  const std::uint64_t Era = Message.era();
+  Update.Since = {Era, Message.since()};
+  Update.Position = {Era, Message.position()};
   Update.IsSnapshot = Message.whole();
   Update.AsOf = Now - std::chrono::milliseconds(Message.age_ms());
   for (const wire::Row &Row : Message.rows())
     Update.Rows.push_back(
-        {Row.key(), Row.value(), Row.version(), Row.removed()});
+        {Row.key(), Row.value(), {Era, Row.version()}, Row.removed()});
   return Update;
 }
 
--- a/tests/unit/decoded_rows_test.cpp
+++ b/tests/unit/decoded_rows_test.cpp
@@ -25,7 +25,7 @@
 };
 
 stored_row row(const std::string &Key, const std::string &Value,
-               std::uint64_t Version) {
+               store_version Version) {
   return {Key, Value, Version, false};
 }
 
@@ -65,4 +65,12 @@
              "expected an unchanged malformed row not to be decoded again");
 }
 
+BOOST_AUTO_TEST_CASE(VersionGivenOutAgainInALaterEraIsDecodedAgain) {
+  int Calls = 0;
+  decoded_rows<int> Numbers;
+  Numbers.update({{"a", row("a", "1", {1, 7})}}, number_decoder{Calls});
+  Numbers.update({{"a", row("a", "2", {2, 7})}}, number_decoder{Calls});
+  BOOST_TEST(Numbers.values().at("a") == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/store_following_test.cpp
+++ b/tests/unit/store_following_test.cpp
@@ -17,12 +17,12 @@
 
 constexpr time_point Start{std::chrono::hours(1)};
 
-table_update snapshotOf(store_table Table, std::uint64_t Position,
+table_update snapshotOf(store_table Table, store_version Position,
                         std::vector<stored_row> Rows, time_point AsOf = Start) {
   return {Table, 0, Position, true, AsOf, std::move(Rows)};
 }
 
-table_update updateFrom(std::uint64_t Since, std::uint64_t Position,
+table_update updateFrom(store_version Since, store_version Position,
                         std::vector<stored_row> Rows) {
   return {store_table::Servers, Since, Position, false, Start, std::move(Rows)};
 }
@@ -92,6 +92,100 @@
   BOOST_TEST((Mirror.asOf() == Start));
 }
 
+// The store has been restored from a copy: lower versions, other contents.
+BOOST_AUTO_TEST_CASE(SnapshotOfALaterEraReplacesTheTable) {
+  store_mirror Mirror = readMirror();
+  const auto Result = Mirror.apply(
+      snapshotOf(store_table::Servers, {1, 4}, {{"b", "b4", {1, 4}, false}}));
+  BOOST_TEST((Result == store_mirror::apply_result::Changed));
+  BOOST_TEST(Mirror.rows(store_table::Servers).size() == 1U);
+  BOOST_TEST(Mirror.rows(store_table::Servers).at("b").Value == "b4");
+  BOOST_TEST(Mirror.position(store_table::Servers) == store_version(1, 4));
+}
+
+BOOST_AUTO_TEST_CASE(VersionGivenOutAgainReplacesTheRow) {
+  store_mirror Mirror = readMirror();
+  Mirror.apply(
+      snapshotOf(store_table::Servers, {1, 5}, {{"a", "2", {1, 5}, false}}));
+  BOOST_TEST(valueOfA(Mirror) == "2");
+}
+
+BOOST_AUTO_TEST_CASE(UpdateOfAnEarlierEraIsIgnored) {
+  store_mirror Mirror = readMirror();
+  Mirror.apply(
+      snapshotOf(store_table::Servers, {1, 4}, {{"a", "new", {1, 4}, false}}));
+  Mirror.apply(snapshotOf(store_table::Servers, 20, {{"a", "old", 20, false}},
+                          Start + seconds(9)));
+  Mirror.apply(updateFrom(4, 30, {{"a", "old", 30, false}}));
+  BOOST_TEST(valueOfA(Mirror) == "new");
+  BOOST_TEST((Mirror.asOf(store_table::Servers) == Start));
+}
+
+BOOST_AUTO_TEST_CASE(ChangesOfALaterEraAreAGap) {
+  store_mirror Mirror = readMirror();
+  const auto Result = Mirror.apply(
+      updateFrom({1, 10}, {1, 12}, {{"a", "new", {1, 12}, false}}));
+  BOOST_TEST((Result == store_mirror::apply_result::Gap));
+  BOOST_TEST(valueOfA(Mirror) == "1");
+}
+
+BOOST_AUTO_TEST_CASE(PeerOfAnotherEraIsSentASnapshot) {
+  store_mirror Mirror = readMirror();
+  Mirror.apply(
+      snapshotOf(store_table::Servers, {1, 4}, {{"a", "new", {1, 4}, false}}));
+  BOOST_TEST(Mirror.updateSince(store_table::Servers, 10).IsSnapshot);
+  BOOST_TEST(Mirror.updateSince(store_table::Servers, {2, 1}).IsSnapshot);
+  BOOST_TEST(!Mirror.updateSince(store_table::Servers, {1, 4}).IsSnapshot);
+}
+
+BOOST_AUTO_TEST_CASE(RemovalOfAnEarlierEraDoesNotHideARow) {
+  store_mirror Mirror = readMirror();
+  Mirror.apply(updateFrom(10, 12, {{"a", "", 12, true}}));
+  Mirror.apply(
+      snapshotOf(store_table::Servers, {1, 4}, {{"a", "new", {1, 4}, false}}));
+  BOOST_TEST(valueOfA(Mirror) == "new");
+  BOOST_TEST(Mirror.updateSince(store_table::Servers, {1, 4}).Rows.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AnswerOfALaterEraDoesNotRefreshTables) {
+  store_mirror Mirror = readMirror();
+  Mirror.confirmUpTo({1, 4}, Start + seconds(1));
+  BOOST_TEST((Mirror.asOf() == Start));
+}
+
+BOOST_AUTO_TEST_CASE(AllTablesAreReadAgainAfterARestore) {
+  store_mirror Mirror = readMirror();
+  store_follower Follower({});
+  std::vector<store_table> Read;
+  Mirror.apply(snapshotOf(store_table::Operators, {1, 4}, {}));
+  while (const auto Next = Follower.next(Mirror, 0, Start)) {
+    if (!Next->IsSnapshot)
+      break;
+    Read.push_back(Next->Table);
+    BOOST_REQUIRE(Read.size() <= AllStoreTables.size());
+    Mirror.apply(snapshotOf(Next->Table, {1, 4}, {}));
+    Follower.onAnswer(Next->Table, true);
+  }
+  BOOST_TEST(Read.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(RepeatedTruncationIsFollowedByBackoff) {
+  store_follower Follower({});
+  time_point Now = Start;
+  int Reads = 0;
+  for (; Now < Start + seconds(6); Now += milliseconds(20)) {
+    const auto Next = Follower.next(readMirror(Now), 0, Now);
+    if (!Next)
+      continue;
+    ++Reads;
+    if (Next->IsSnapshot)
+      Follower.onAnswer(Next->Table, true);
+    else
+      Follower.onHistoryTruncated(Next->Table, Now);
+  }
+  BOOST_TEST(Reads <= 30, "expected 30 reads in 6 s, got " << Reads);
+}
+
 BOOST_AUTO_TEST_CASE(ReaderStartsALongPollAtOnce) {
   store_follower Follower({});
   const auto Read = Follower.next(readMirror(), 0, Start);
@@ -127,7 +221,7 @@
 
 BOOST_AUTO_TEST_CASE(TruncatedHistoryRequiresASnapshot) {
   store_follower Follower({});
-  Follower.onHistoryTruncated(store_table::Servers);
+  Follower.onHistoryTruncated(store_table::Servers, Start);
   const auto Read = Follower.next(readMirror(), 0, Start);
   BOOST_REQUIRE(Read.has_value());
   BOOST_TEST(Read->IsSnapshot);
--- a/tests/unit/store_relay_test.cpp
+++ b/tests/unit/store_relay_test.cpp
@@ -162,6 +162,59 @@
   BOOST_TEST(Peer.position(store_table::Operators) == 10U);
 }
 
+/// Returns a mirror of a store that was restored to version 4.
+store_mirror restoredMirror() {
+  store_mirror Mirror = readMirror();
+  for (const store_table Table : AllStoreTables)
+    Mirror.apply(
+        {Table, 0, {1, 4}, true, Start, {{"a", "restored", {1, 3}, false}}});
+  return Mirror;
+}
+
+BOOST_AUTO_TEST_CASE(PeerOfAnEarlierEraIsSentTheRestoredTables) {
+  store_relay Hub = makeRelay();
+  store_relay Vm = makeRelay();
+  store_mirror Peer = readMirror();
+  Heartbeat Request;
+  Request.set_vm("peer");
+  Vm.addUpdates(Request, "hub", Peer, Start);
+  Hub.readUpdates(Request, Start, [](const table_update &) {});
+  Heartbeat Reply;
+  Hub.addUpdates(Reply, "peer", restoredMirror(), Start);
+  applyAll(Reply, Peer);
+  BOOST_TEST(Peer.rows(store_table::Operators).at("a").Value == "restored");
+  BOOST_TEST(Peer.position(store_table::Operators) == store_version(1, 4));
+}
+
+BOOST_AUTO_TEST_CASE(PeerOfALaterEraIsNotSetBack) {
+  store_relay Relay = makeRelay();
+  const Heartbeat Reply = replyTo(Relay, readMirror(), 10);
+  store_mirror Peer = restoredMirror();
+  applyAll(Reply, Peer);
+  BOOST_TEST(Peer.rows(store_table::Operators).at("a").Value == "restored");
+}
+
+// A VM of an older version reports numbers without eras.
+BOOST_AUTO_TEST_CASE(PeerThatReportsNoErasIsSentNoSnapshotWithEachHeartbeat) {
+  store_relay Relay = makeRelay();
+  const Heartbeat Reply = replyTo(Relay, restoredMirror(), 4);
+  BOOST_TEST(Reply.news_size() == 3);
+  for (const auto &News : Reply.news())
+    BOOST_TEST(!News.whole());
+}
+
+BOOST_AUTO_TEST_CASE(UpdateWithoutAnEraChangesNoRestoredTable) {
+  store_mirror Mirror = readMirror();
+  writeRow(Mirror, "old", 11);
+  store_relay Relay = makeRelay();
+  Heartbeat Reply = replyTo(Relay, Mirror, 10);
+  for (auto &News : *Reply.mutable_news())
+    News.clear_era();
+  store_mirror Peer = restoredMirror();
+  applyAll(Reply, Peer);
+  BOOST_TEST(!Peer.rows(store_table::Operators).contains("config"));
+}
+
 BOOST_AUTO_TEST_CASE(AgeIsThatOfTheReplicaWhenTheHeartbeatIsMade) {
   store_mirror Mirror = readMirror();
   store_relay Relay = makeRelay();
--- a/tests/unit/update_pacer_test.cpp
+++ b/tests/unit/update_pacer_test.cpp
@@ -19,7 +19,7 @@
 /// A configuration of 1,172 routes.
 constexpr std::size_t LargeBytes = 213'000;
 
-table_update updateTo(std::uint64_t Position) {
+table_update updateTo(store_version Position) {
   table_update Update;
   Update.Table = store_table::Operators;
   Update.Since = 10;
@@ -103,6 +103,17 @@
   BOOST_TEST(Pacer.maySend("vm", store_table::Operators, Start));
 }
 
+BOOST_AUTO_TEST_CASE(HigherNumberOfAnEarlierEraDoesNotConfirmAnUpdate) {
+  update_pacer Pacer;
+  table_update Update = updateTo({1, 12});
+  Update.Since = 50;
+  Pacer.onSent("vm", Update, LargeBytes, Start);
+  Pacer.recordPosition("vm", store_table::Operators, 50);
+  BOOST_TEST(!Pacer.maySend("vm", store_table::Operators, Start));
+  Pacer.recordPosition("vm", store_table::Operators, {1, 12});
+  BOOST_TEST(Pacer.maySend("vm", store_table::Operators, Start));
+}
+
 BOOST_AUTO_TEST_CASE(OtherTablesAndPeersAreNotHeldBack) {
   update_pacer Pacer;
   Pacer.onSent("vm", updateTo(12), LargeBytes, Start);
