Restored store: what was acknowledged stays in force until it is written again

A restored copy shows the table of some seconds ago: a server that has begun to leave as ready, one that was removed as running, a drained zone as in use, and it lacks servers and VMs that registered since. Taken as it is, requests go to servers that leave and into drained zones.

Pure code in restored_store: zones known as drained stay so for 3 s, or until the store has listed the row in the new era; a leaving or removed server keeps that state for the same start until its row changes in the new era, at most 8 s; servers that the copy lacks are kept for the grace period of an outage, VMs for 5 s (a former incarnation replaces none). What is remembered of departed servers is bounded by 60 s and 4096. A VM that starts is not ready with an older configuration than its peers report in force, for at most 3 s.

Evidence, store_restored_test with eras only: LeavingServerStaysLeavingWhenTheCopyShowsItAsReady: check Fleet.server(0).runs() == Before has failed [15 != 0] RemovedServerIsNotUsedWhenTheCopyListsIt: check Fleet.server(0).runs() == Before has failed [15 != 0] DrainedZoneStaysDrainedUntilTheRowIsWrittenAgain: check !isServed(Fleet, 0, "/reads/x") has failed VmThatStartsAfterARestoreIsNotReadyWithAnOlderConfiguration: check Fleet.readiness(1) == 503 has failed [200 != 503]

--- /dev/null
+++ b/include/agatedale/restored_store.h
@@ -0,0 +1,185 @@
+/// \file
+/// What stays in force while a restored store gets its lost writes again.
+#pragma once
+
+#include "agatedale/clock.h"
+#include "agatedale/configuration.h"
+#include "agatedale/entry_vm.h"
+#include "agatedale/outage_grace_period.h"
+#include "agatedale/store_mirror.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace agatedale {
+
+/// Detects that a table comes from a store that was restored since the last
+/// look at it.
+class era_watch {
+public:
+  /// Returns true if \p Era is later than the last one.
+  bool advance(std::uint64_t Era) {
+    const bool HasAdvanced = Last && Era > *Last;
+    Last = Era;
+    return HasAdvanced;
+  }
+
+private:
+  std::optional<std::uint64_t> Last;
+};
+
+/// Keeps zones drained whose rows the restored copy lacks, until operators have
+/// written them again. Once the restored store has listed a zone, its row alone
+/// decides.
+///
+///   std::set<std::string> Drained = Zones.update(Era, Listed, Now);
+class restored_zones {
+public:
+  /// Time until operators have written again what the copy lacks.
+  static constexpr duration HoldTime = std::chrono::seconds(3);
+
+  /// Returns the drained zones, given those that the store lists in \p Era.
+  std::set<std::string> update(std::uint64_t Era,
+                               const std::set<std::string> &Listed,
+                               time_point Now);
+
+  /// Returns true if the hold has ended since the last update.
+  bool isOver(time_point Now) const {
+    return !Held.empty() && Now >= HeldUntil;
+  }
+
+private:
+  era_watch Watch;
+  std::set<std::string> Drained; ///< As returned last.
+  std::set<std::string> Held;
+  time_point HeldUntil{};
+};
+
+/// Corrects the list of backend servers after a restore. A row of the copy may
+/// show a server as ready that has since begun to leave or was removed, and the
+/// copy lacks servers that registered later.
+///
+///   server_map Servers = Restored.update(Era, Rows, Decoded, Now);
+class restored_servers {
+public:
+  using server_map = std::map<std::string, backend_server>;
+
+  /// Running servers have registered again after this time.
+  static constexpr duration MissingHold = outage_grace_period::Length;
+
+  /// The store has removed the rows of servers that no longer run, and leaving
+  /// servers have reported again, after this time: three renewals of a row and
+  /// a margin.
+  static constexpr duration DepartedHold = std::chrono::seconds(8);
+
+  /// A restored copy is not older than this. Servers that have left earlier are
+  /// not remembered.
+  static constexpr duration DepartedMemory = std::chrono::seconds(60);
+  static constexpr std::size_t MaxDeparted = 4096;
+
+  /// Returns the servers to use, given the \p Rows that the store lists in
+  /// \p Era and the servers decoded from them.
+  server_map update(std::uint64_t Era,
+                    const std::map<std::string, stored_row> &Rows,
+                    server_map Listed, time_point Now);
+
+  /// Returns true if a hold has ended since the last update.
+  bool isOver(time_point Now) const {
+    return (!Missing.empty() && Now >= MissingUntil) ||
+           (!Suspects.empty() && Now >= SuspectsUntil);
+  }
+
+private:
+  /// A server that has begun to leave, or whose row was removed.
+  struct departed_server {
+    std::uint64_t Start = 0;
+    bool IsRemoved = false;
+    time_point At{};
+  };
+
+  /// A departed server that the restored copy lists as ready.
+  struct suspect {
+    store_version Version; ///< Of its row; a later one is the server's own.
+    bool IsRemoved = false;
+  };
+
+  void onRestored(const std::map<std::string, stored_row> &Rows,
+                  const server_map &Listed, time_point Now);
+  void endHolds(const std::map<std::string, stored_row> &Rows,
+                const server_map &Listed, time_point Now);
+  void recordDepartures(const server_map &Listed, time_point Now);
+  void forgetOldest(time_point Now);
+
+  era_watch Watch;
+  server_map Last; ///< As returned last.
+  std::map<std::string, departed_server> Departed;
+  std::map<std::string, suspect> Suspects;
+  time_point SuspectsUntil{};
+  server_map Missing;
+  time_point MissingUntil{};
+};
+
+/// Keeps entry VMs listed whose rows the restored copy lacks, until they have
+/// written them again.
+///
+///   std::vector<entry_vm> Vms = Restored.update(Era, Listed, Now);
+class restored_vms {
+public:
+  /// Time until the VMs have noticed the restore and written their rows.
+  static constexpr duration HoldTime = std::chrono::seconds(5);
+
+  /// \p Self is the name of this VM, which is never held: its missing row shows
+  /// that it must be written.
+  explicit restored_vms(std::string Self) : Self(std::move(Self)) {}
+
+  /// Returns the VMs of the fleet, given those that the store lists in \p Era.
+  std::vector<entry_vm>
+  update(std::uint64_t Era, std::span<const entry_vm> Listed, time_point Now);
+
+  /// Returns true if the hold has ended since the last update.
+  bool isOver(time_point Now) const {
+    return !Held.empty() && Now >= HeldUntil;
+  }
+
+private:
+  std::string Self;
+  era_watch Watch;
+  std::map<std::string, entry_vm> Last; ///< As returned last.
+  std::map<std::string, entry_vm> Held;
+  time_point HeldUntil{};
+};
+
+/// Delays a VM that starts while the restored store still shows an older
+/// configuration than the one that its peers have in force.
+///
+///   CatchUp.recordPeer(VersionInForce);
+///   bool IsReady = CatchUp.isReached(OwnVersion, Now);
+class configuration_catch_up {
+public:
+  /// A VM is not kept from serving for longer than this.
+  static constexpr duration MaxWait = std::chrono::seconds(3);
+
+  void recordPeer(std::uint64_t Version) {
+    HighestOfPeers = std::max(HighestOfPeers, Version);
+  }
+
+  /// Returns true if \p Own is as new as the versions of the peers, or MaxWait
+  /// has passed since the first call.
+  bool isReached(std::uint64_t Own, time_point Now) {
+    FirstAskedAt = FirstAskedAt.value_or(Now);
+    return Own >= HighestOfPeers || Now - *FirstAskedAt >= MaxWait;
+  }
+
+private:
+  std::uint64_t HighestOfPeers = 0;
+  std::optional<time_point> FirstAskedAt;
+};
+
+} // namespace agatedale
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -51,6 +51,7 @@
   const bool IsGracePeriod = GracePeriod.isActive(Now);
   if (std::exchange(GracePeriodWasActive, IsGracePeriod) && !IsGracePeriod)
     rebuild();
+  endHolds(Now);
   if (Reading || Now < StartAt)
     return;
   const int Rank = Vms.readerRank(readsFail(), Now);
@@ -71,6 +72,19 @@
   });
 }
 
+/// Applies the lists anew when what a restored store lacked is kept no longer.
+void fleet_state::endHolds(time_point Now) {
+  if (RestoredZones.isOver(Now) || RestoredServers.isOver(Now))
+    rebuild();
+  if (RestoredVms.isOver(Now))
+    Handlers.OnVmsChanged();
+}
+
+bool fleet_state::isServing() {
+  return View && Mirror.isComplete() &&
+         CatchUp.isReached(ActiveVersion, bootNow());
+}
+
 void fleet_state::readZone() {
   Worker.readRange(store_table::Vms, platform::vmKey(Settings.Zone, ""),
                    [this](const result<std::vector<stored_row>> &Rows) {
@@ -186,7 +200,8 @@
   Listed.reserve(VmRows.values().size());
   for (const auto &[Key, Vm] : VmRows.values())
     Listed.push_back(Vm);
-  return Listed;
+  return RestoredVms.update(Mirror.position(store_table::Vms).Era, Listed,
+                            bootNow());
 }
 
 store_version fleet_state::vmRowVersion(const std::string &Key) const {
@@ -216,15 +231,19 @@
   ActiveVersion = valueOf(Read).Version;
 }
 
-std::vector<availability_zone> fleet_state::zones() const {
+std::vector<availability_zone> fleet_state::zones() {
   std::map<std::string, availability_zone> Zones;
   for (const auto &[Name, Region] : Settings.Zones)
     Zones[Name] = {Name, Region, false};
+  std::set<std::string> Listed;
   for (const auto &[Key, Row] : Mirror.rows(store_table::Operators)) {
     const auto Zone = platform::drainedZone(Key);
     if (Zone && Zones.contains(*Zone))
-      Zones[*Zone].Drained = true;
+      Listed.insert(*Zone);
   }
+  const std::uint64_t Era = Mirror.position(store_table::Operators).Era;
+  for (const std::string &Zone : RestoredZones.update(Era, Listed, bootNow()))
+    Zones[Zone].Drained = true;
   std::vector<availability_zone> List;
   List.reserve(Zones.size());
   for (const auto &[Name, Zone] : Zones)
@@ -243,8 +262,11 @@
 }
 
 std::vector<backend_server> fleet_state::decodeServers() {
-  ServerRows.update(Mirror.rows(store_table::Servers), platform::decodeServer);
-  std::map<std::string, backend_server> Servers = ServerRows.values();
+  const auto &Rows = Mirror.rows(store_table::Servers);
+  ServerRows.update(Rows, platform::decodeServer);
+  std::map<std::string, backend_server> Servers =
+      RestoredServers.update(Mirror.position(store_table::Servers).Era, Rows,
+                             ServerRows.values(), bootNow());
   retainExpiredServers(Servers);
   LastServers = Servers;
   std::vector<backend_server> List;
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -4,6 +4,7 @@
 
 #include "agatedale/gateway_settings.h"
 #include "agatedale/outage_grace_period.h"
+#include "agatedale/restored_store.h"
 #include "agatedale/store_follower.h"
 #include "agatedale/store_mirror.h"
 #include "agatedale/vm_directory.h"
@@ -38,7 +39,7 @@
   fleet_state(const gateway_settings &Settings, vm_directory &Vms,
               store_worker &Worker, handlers Handlers)
       : Settings(Settings), Vms(Vms), Worker(Worker),
-        Handlers(std::move(Handlers)), Follower({}) {}
+        Handlers(std::move(Handlers)), Follower({}), RestoredVms(Settings.Vm) {}
 
   /// Delays the first read of the store.
   void setStart(time_point NewStartAt) { StartAt = NewStartAt; }
@@ -49,6 +50,15 @@
   /// Applies an update relayed by a peer.
   void applyPeerUpdate(const table_update &Update);
 
+  /// Records the version of the configuration that a peer has in force.
+  void recordPeerConfiguration(std::uint64_t Version) {
+    CatchUp.recordPeer(Version);
+  }
+
+  /// Returns true once requests can be served: a configuration is in force that
+  /// is not older than that of the peers, and every table has been read.
+  bool isServing();
+
   /// Returns the replica from which peers are updated.
   const store_mirror &mirror() const { return Mirror; }
 
@@ -78,7 +88,8 @@
   void rebuild();
   void decodeConfigurationRow();
   std::vector<backend_server> decodeServers();
-  std::vector<availability_zone> zones() const;
+  std::vector<availability_zone> zones();
+  void endHolds(time_point Now);
   void retainExpiredServers(std::map<std::string, backend_server> &Servers);
 
   gateway_settings Settings;
@@ -101,6 +112,10 @@
   bool StoreUnreachable = false; ///< The replica is older than MaxStoreAge.
   outage_grace_period GracePeriod;
   bool GracePeriodWasActive = false;
+  restored_zones RestoredZones;
+  restored_servers RestoredServers;
+  restored_vms RestoredVms;
+  configuration_catch_up CatchUp;
   std::optional<time_point> ReadLateAt; ///< When the pending read is overdue.
   bool LastReadFailed = false;
 };
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -296,6 +296,7 @@
 }
 
 void gateway_node::impl::runHeartbeatTimer() {
+  updateReady();
   sendHeartbeats();
   Loop->after(FleetState->mirror().isComplete() ? HeartbeatInterval
                                                 : StartHeartbeatInterval,
@@ -335,6 +336,8 @@
   Message.set_ready(isReady());
   Message.set_leaving(Stopping);
   Message.set_reads_fail(FleetState->readsFail());
+  if (const auto Snapshot = FleetState->view())
+    Message.set_configuration(Snapshot->Version);
   const time_point Now = bootNow();
   const auto Listed = Vms.find(Peer);
   if (Listed && Listed->Zone == Settings.Zone)
@@ -360,6 +363,7 @@
   const time_point Now = bootNow();
   Vms.recordHeartbeat(Message.vm(), Message.ready(), Message.leaving(), Now);
   Vms.setReadsFail(Message.vm(), Message.reads_fail());
+  FleetState->recordPeerConfiguration(Message.configuration());
   for (const wire_gateway::ZoneMate &ZonePeer : Message.mates())
     Vms.mergeZoneMember({ZonePeer.name_hash(),
                          Now - std::chrono::milliseconds(ZonePeer.age_ms()),
@@ -497,8 +501,11 @@
   if (!CleanupOwner || CleanupOwner->Id.Name != Settings.Vm)
     return;
   for (const std::string &SilentVm : Vms.removableVms(Now)) {
-    Worker->remove(store_table::Vms, rowKey(SilentVm),
-                   FleetState->vmRowVersion(rowKey(SilentVm)),
+    const store_version Version = FleetState->vmRowVersion(rowKey(SilentVm));
+    // The VM is listed, though a restored copy of the store lacks its row.
+    if (!Version.isKnown())
+      continue;
+    Worker->remove(store_table::Vms, rowKey(SilentVm), Version,
                    [SilentVm](const result<store_version> &Done) {
                      const error *Error = errorOf(Done);
                      logLine(
@@ -510,7 +517,7 @@
 }
 
 bool gateway_node::impl::isReady() const {
-  return !Stopping && FleetState->view() && FleetState->mirror().isComplete();
+  return !Stopping && FleetState->isServing();
 }
 
 void gateway_node::impl::updateReady() { Vms.setSelf(isReady(), Stopping); }
