Relay: the tables of a restored store go to a peer together

While the tables are of different eras, none is relayed now.

Evidence before: RestoredTablesReachAPeerTogether: check Peer.position(Table) == store_version(1, 4) has failed [0.10 != 1.4] (2 tables)

--- a/include/agatedale/store_mirror.h
+++ b/include/agatedale/store_mirror.h
@@ -83,6 +83,10 @@
   /// Returns true once a snapshot of every table has been applied.
   bool isComplete() const;
 
+  /// Returns true if all tables are of the same era. They are not while the
+  /// tables of a restored store are read one after the other.
+  bool isOfOneEra() const;
+
   /// Returns a number that grows whenever rows or tombstones of \p Table
   /// change.
   std::uint64_t revision(store_table Table) const {
--- a/src/core/store_mirror.cpp
+++ b/src/core/store_mirror.cpp
@@ -122,6 +122,12 @@
   return Oldest;
 }
 
+bool store_mirror::isOfOneEra() const {
+  return std::all_of(Tables.begin(), Tables.end(), [this](const table &Table) {
+    return Table.Position.Era == Tables.front().Position.Era;
+  });
+}
+
 bool store_mirror::isComplete() const {
   return std::all_of(Tables.begin(), Tables.end(), [](const table &Table) {
     return Table.Position.isKnown();
--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/store_relay.cpp
@@ -88,7 +88,10 @@
   for (const store_table Table : AllStoreTables)
     addPosition(Message, Mirror.position(Table));
   const auto Known = PeerPositions.find(Peer);
-  if (Known == PeerPositions.end() || !Mirror.isComplete())
+  // The snapshots of a restored store go out together: a peer that has been
+  // sent one waits for the next.
+  if (Known == PeerPositions.end() || !Mirror.isComplete() ||
+      !Mirror.isOfOneEra())
     return;
   const peer_positions &Positions = Known->second;
   std::array<const encoded_update *, AllStoreTables.size()> Due{};
--- a/tests/unit/store_relay_test.cpp
+++ b/tests/unit/store_relay_test.cpp
@@ -186,6 +186,26 @@
   BOOST_TEST(Peer.position(store_table::Operators) == store_version(1, 4));
 }
 
+// The reader has read one table of a restored store, then the others.
+BOOST_AUTO_TEST_CASE(RestoredTablesReachAPeerTogether) {
+  store_relay Relay = makeRelay();
+  store_mirror Mirror = readMirror();
+  Mirror.apply({store_table::Operators, 0, {1, 4}, true, Start, {}});
+  Heartbeat Request = heartbeatAt(10);
+  for (std::size_t I = 0; I < AllStoreTables.size(); ++I)
+    Request.add_eras(0);
+  Relay.readUpdates(Request, Start, [](const table_update &) {});
+  Heartbeat First;
+  Relay.addUpdates(First, "peer", Mirror, Start);
+  Heartbeat Second;
+  Relay.addUpdates(Second, "peer", restoredMirror(), Start + milliseconds(250));
+  store_mirror Peer = readMirror();
+  applyAll(First, Peer);
+  applyAll(Second, Peer);
+  for (const store_table Table : AllStoreTables)
+    BOOST_TEST(Peer.position(Table) == store_version(1, 4));
+}
+
 BOOST_AUTO_TEST_CASE(PeerOfALaterEraIsNotSetBack) {
   store_relay Relay = makeRelay();
   const Heartbeat Reply = replyTo(Relay, readMirror(), 10);
