A stop waits for the last removal of its own row

A row that comes back with a restored store is removed again while the first removal may still run; the end of the first one let the stop end before the second. Found by reading; no run shows it.

--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -467,8 +467,8 @@
   RemovedVersion = Version;
   RowRemains = true;
   Worker->remove(store_table::Vms, rowKey(Settings.Vm), Version,
-                 [this](const result<store_version> &Done) {
-                   RowRemains = false;
+                 [this, Version](const result<store_version> &Done) {
+                   RowRemains = RowRemains && RemovedVersion != Version;
                    if (const error *Error = errorOf(Done))
                      logLine(log_level::Warning, "store-write-failed",
                              {{"row", Settings.Vm}, {"why", Error->Message}});
