--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Reads the settings of agatedale-gateway.
 #include "agatedale/gateway_settings.h"
+#include "../http/address.h"
 #include "toml_reader.h"
 
 #include <algorithm>
@@ -41,6 +42,8 @@
   gateway_settings Settings;
   Settings.Vm = Reader.requiredString("vm");
   Settings.Ip = Reader.requiredString("ip");
+  if (!isIpv4(Settings.Ip))
+    Reader.addError("ip", "expected an IPv4 address");
   Settings.Zone = Reader.requiredString("zone");
   Settings.Region = Reader.requiredString("region");
   Settings.CallerAddress = Reader.requiredString("caller_address");
--- a/src/http/address.h
+++ b/src/http/address.h
@@ -16,6 +16,13 @@
   std::uint16_t Port = 0;
 };
 
+/// Returns true if \p Text is an IPv4 address in dotted notation.
+bool isIpv4(const std::string &Text);
+
+/// Returns true if \p Text is an IPv4 address, or an IPv6 address in brackets,
+/// with a port. Using such an address looks up no name.
+bool isIpAndPort(std::string_view Text);
+
 /// Parses "ip:port".
 result<socket_address> parseAddress(std::string_view Text);
 
--- a/tests/unit/gateway_settings_test.cpp
+++ b/tests/unit/gateway_settings_test.cpp
@@ -111,4 +111,12 @@
              Message);
 }
 
+// Peers reach the VM at this address and look up no names.
+BOOST_AUTO_TEST_CASE(IpMustBeAnIpv4Address) {
+  for (const std::string &Ip : {"vm.example", "localhost", "::1", "10.1"})
+    BOOST_TEST(
+        mentionsKey(errorMessage(withLine("ip", "ip = \"" + Ip + "\"")), "ip"),
+        Ip);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
