Believe a refusal only if nothing earlier can have caused it

Callers were told 'not run, try again' for requests that a target had run or was running, or such a request ran at a second target.

(1) A refusal without an id was believed on any connection, so that a copy of one (a load query has no id, and its refusal has none) answered the next request. (2) A request that a server refused may be sent to it again, with the same id and on the same connection; a copy of the refusal then matches the second sending, while the server runs it.

Ruled out, with tests that passed before too: a copy that arrives with or behind the refusal, whole or cut at any byte (the connection is closed); a copy ahead of another request's answer (another id); a copy ahead of a load query's answer; a copy of a 421 (that connection is closed).

Fix: a refusal without an id proves something only to the first request on its connection; to others it is "may have run". A connection keeps the ids that were refused on it until their deadline, and such a request goes on another connection.

Cost: a connection more only where a request is sent again to the server that just refused it and no other connection to it is idle.

Not covered: the late copy of a load answer can still be taken for the next load answer, as neither has an id. Its figures are then older by one query.

--- a/src/gateway/server_pool.cpp
+++ b/src/gateway/server_pool.cpp
@@ -54,6 +54,9 @@
   bool isUsable(time_point Now) const {
     return !Stream->isClosed() && Now < IdleUntil;
   }
+  bool hasRefused(const std::string &RequestId) const {
+    return RefusedUntil.contains(RequestId);
+  }
 
 private:
   friend class server_pool;
@@ -67,6 +70,7 @@
   bool isTooLarge();
   void onMismatchedAnswer();
   void onResponse();
+  void recordRefusal();
   void finishCall(call_result Result);
 
   server_pool &Pool;
@@ -79,6 +83,9 @@
   bool Tainted = false;
   bool NotReusable = false;
   int MismatchedAnswers = 0;
+  int CallsStarted = 0;
+  /// The requests that were refused on this connection, with their deadlines.
+  std::map<std::string, time_point> RefusedUntil;
   body_reservation Share; ///< Of the body that is being received.
   std::uint64_t BytesSentBefore = 0;
   duration IdleTime = DefaultIdleTime;
@@ -132,6 +139,7 @@
 
 void server_connection::startCall(const std::shared_ptr<server_call> &Next) {
   Call = Next;
+  ++CallsStarted;
   Decoder =
       std::make_unique<response_decoder>(ResponseLimits, Call->IsHeadRequest);
   Share = body_reservation(Pool.Bodies);
@@ -223,7 +231,8 @@
     finishCall(std::move(Result));
     return;
   }
-  switch (platform::classifyAnswer(Result.Response, Call->RequestId)) {
+  switch (platform::classifyAnswer(Result.Response, Call->RequestId,
+                                   CallsStarted == 1)) {
   case platform::answer_kind::MismatchedRequest:
     onMismatchedAnswer();
     return;
@@ -235,6 +244,7 @@
     break;
   case platform::answer_kind::NotRun:
     Result.Outcome = attempt_outcome::Shed;
+    recordRefusal();
     break;
   case platform::answer_kind::WrongServer:
     Result.Outcome = attempt_outcome::WrongServer;
@@ -247,6 +257,15 @@
   finishCall(std::move(Result));
 }
 
+void server_connection::recordRefusal() {
+  if (Call->RequestId.empty())
+    return;
+  std::erase_if(RefusedUntil, [Now = bootNow()](const auto &Refused) {
+    return Refused.second < Now;
+  });
+  RefusedUntil[Call->RequestId] = Call->RequestDeadline;
+}
+
 void server_connection::finishCall(call_result Result) {
   const auto Self = shared_from_this();
   const std::shared_ptr<server_call> FinishedCall = std::move(Call);
@@ -305,6 +324,7 @@
   auto Call = std::make_shared<server_call>();
   Call->Order = Order;
   Call->RequestId = Request.Id;
+  Call->RequestDeadline = Request.Deadline;
   Call->IsHeadRequest = Request.Message.Method == "HEAD";
   Call->Done = std::move(Done);
   http_request_message Message = Request.Message;
@@ -335,7 +355,7 @@
 }
 
 void server_pool::startCall(const std::shared_ptr<server_call> &Call) {
-  if (const auto Reused = acquireIdle(Call->Order.Address)) {
+  if (const auto Reused = acquireIdle(*Call)) {
     Call->Connection = Reused;
     Reused->startCall(Call);
     return;
@@ -356,14 +376,17 @@
 }
 
 std::shared_ptr<server_connection>
-server_pool::acquireIdle(const std::string &Address) {
+server_pool::acquireIdle(const server_call &Call) {
   std::vector<std::shared_ptr<server_connection>> &IdleConnections =
-      Idle[Address];
+      Idle[Call.Order.Address];
   const time_point Now = bootNow();
-  while (!IdleConnections.empty()) {
-    std::shared_ptr<server_connection> Latest =
-        std::move(IdleConnections.back());
-    IdleConnections.pop_back();
+  // The latest first.
+  for (auto At = IdleConnections.end(); At != IdleConnections.begin();) {
+    --At;
+    if ((*At)->hasRefused(Call.RequestId))
+      continue;
+    const std::shared_ptr<server_connection> Latest = std::move(*At);
+    At = IdleConnections.erase(At);
     if (Latest->isUsable(Now))
       return Latest;
     Latest->close();
--- a/src/gateway/server_pool.h
+++ b/src/gateway/server_pool.h
@@ -41,6 +41,7 @@
 
   send_action Order;
   std::string RequestId;
+  time_point RequestDeadline; ///< The request is not sent again afterwards.
   std::string Bytes;
   bool IsHeadRequest = false;
   bool IsLoadProbe = false; ///< A load query, not a caller's request.
@@ -51,7 +52,9 @@
 
 /// Keeps idle connections to backend servers and sends one request at a time on
 /// each. A connection that receives unexpected data is closed: bytes that
-/// arrive while no request is in progress cannot be matched to a request.
+/// arrive while no request is in progress cannot be matched to a request. A
+/// request is not sent again on a connection on which it was refused, because a
+/// copy of the refusal would match it.
 ///
 ///   auto Call = Pool.send(Order, Request, Done);
 class server_pool {
@@ -75,7 +78,7 @@
   friend class server_connection;
 
   void startCall(const std::shared_ptr<server_call> &Call);
-  std::shared_ptr<server_connection> acquireIdle(const std::string &Address);
+  std::shared_ptr<server_connection> acquireIdle(const server_call &Call);
   void releaseIdle(const std::shared_ptr<server_connection> &Connection);
   void removeIdle(const server_connection *Connection);
 
