agatedale-entry: an answer that is cut in its head or chunks is not whole

Callers got: a 200, 204 or answer to HEAD without the rest of its headers; status 20 or 2 where the status line was cut; a refusal from half a head; a 200 with a short body where a chunked answer stalled until the deadline, or had a malformed chunk size; an empty 200 for "Content-Length: -1".

Cause: POCO's readers take the end of the connection for the end of a head, and the end of the connection, a failed receive and a malformed chunk for the end of the chunks. The check that the connection is still open saw the first of these only.

Ruled out: bodies shorter than their length, by close and by reset (counted before too).

Fix: the session observes its socket. POCO reads a head up to its empty line, so that a receive that failed or found the end before means a cut head. A chunked answer is whole only if the last bytes received are an empty last chunk and all of them were used; one with trailers counts as cut, which is "may have run". A status outside 200 to 599 is no answer.

--- a/src/node/backend_connection.cpp
+++ b/src/node/backend_connection.cpp
@@ -9,7 +9,6 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
-#include <Poco/Net/StreamSocket.h>
 #include <Poco/String.h>
 #include <Poco/Timespan.h>
 
@@ -33,6 +32,8 @@
     "proxy-connection", "te",         "trailer",           "upgrade",
     "expect",           "host"};
 
+constexpr int FirstFinalStatus = 200;
+constexpr int LastStatus = 599;
 constexpr int StatusNoContent = 204;
 constexpr int StatusNotModified = 304;
 
@@ -167,6 +168,14 @@
   void receiveAll() {
     Connection.setTimeout(timeLeft());
     std::istream &Input = Connection.session().receiveResponse(Response);
+    const int Status = Response.getStatus();
+    const bool IsHeadWhole = !Connection.session().hasEnded() &&
+                             Status >= FirstFinalStatus && Status <= LastStatus;
+    if (!IsHeadWhole) {
+      end(timeLeft() <= duration::zero() ? attempt_outcome::TimedOut
+                                         : attempt_outcome::Truncated);
+      return;
+    }
     Result.Outcome = outcomeOf(Response);
     node_answer &Answer = Result.Answer;
     Answer.Verdict = verdict::Answered;
@@ -180,7 +189,8 @@
           0, Response.hasContentLength() ? Response.getContentLength64() : 0);
       return;
     }
-    const bool Known = Response.hasContentLength();
+    const bool Known =
+        Response.hasContentLength() && Response.getContentLength64() >= 0;
     if (!Known && !Response.getChunkedTransferEncoding()) {
       // The end of such an answer cannot be told from a broken connection.
       end(attempt_outcome::Truncated);
@@ -209,10 +219,11 @@
         return;
       }
     }
-    // A chunked answer that ends because the connection did may be cut short.
+    // The reader also ends at a malformed chunk, a timeout and the end of the
+    // connection.
     const bool Whole = Length >= 0
                            ? static_cast<std::int64_t>(Body.size()) == Length
-                           : !Connection.isStale();
+                           : Connection.session().endsWithLastChunk();
     if (!Whole)
       end(attempt_outcome::Truncated);
     Result.Answer.ContentLength = static_cast<std::int64_t>(Body.size());
@@ -257,9 +268,9 @@
 
 } // namespace
 
-backend_connection::backend_connection(const Poco::Net::StreamSocket &Socket)
-    : Session(std::make_unique<Poco::Net::HTTPClientSession>(Socket)),
-      LastUsed(monotonicNow()) {
+backend_connection::backend_connection(
+    std::unique_ptr<observed_session> NewSession)
+    : Session(std::move(NewSession)), LastUsed(monotonicNow()) {
   Session->setKeepAlive(true);
 }
 
@@ -269,12 +280,12 @@
   if (const error *Error = errorOf(Parsed))
     return *Error;
   try {
-    Poco::Net::StreamSocket Socket;
-    Socket.connect(
+    auto Session = observed_session::connect(
         Poco::Net::SocketAddress(valueOf(Parsed).Ip, valueOf(Parsed).Port),
         timespanOf(Timeout));
-    Socket.setNoDelay(true);
-    return std::shared_ptr<backend_connection>(new backend_connection(Socket));
+    Session->socket().setNoDelay(true);
+    return std::shared_ptr<backend_connection>(
+        new backend_connection(std::move(Session)));
   } catch (const Poco::Exception &Failure) {
     return error{error_kind::Unavailable, Failure.displayText()};
   }
--- a/src/node/backend_connection.h
+++ b/src/node/backend_connection.h
@@ -2,11 +2,10 @@
 /// Connections to backend servers and one attempt over one of them.
 #pragma once
 
+#include "../http/observed_session.h"
 #include "agatedale/server_group.h"
 #include "request.h"
 
-#include <Poco/Net/HTTPClientSession.h>
-
 #include <atomic>
 #include <functional>
 #include <map>
@@ -37,14 +36,14 @@
   /// Bounds the next receives and sends.
   void setTimeout(duration Timeout);
 
-  Poco::Net::HTTPClientSession &session() { return *Session; }
+  observed_session &session() { return *Session; }
   time_point lastUsed() const { return LastUsed; }
   void touch(time_point Now) { LastUsed = Now; }
 
 private:
-  explicit backend_connection(const Poco::Net::StreamSocket &Socket);
+  explicit backend_connection(std::unique_ptr<observed_session> NewSession);
 
-  std::unique_ptr<Poco::Net::HTTPClientSession> Session;
+  std::unique_ptr<observed_session> Session;
   std::atomic<bool> Cancelled{false};
   time_point LastUsed;
 };
