agatedale-entry: see bytes behind an answer that are already read

What callers would see: the answer, or the refusal, of another request. A server that sends a second answer in the same packet as the first one has it read into the session's buffer, where it answers the next request on the connection.

Cause: an idle connection was checked by polling its socket, which is empty then.

Evidence, backend_connection_test/BytesBehindAnAnswerMakeTheConnectionStale before: check Backend.Connection->isStale() has failed (for 1 byte and for a whole refusal)

Fix: a connection with unread bytes in the session is stale, like one with bytes in the socket.

A repeated refusal on a kept connection, which other operators reported, can't reach another request here otherwise: a connection is kept after whole answers only, not after a refusal. A copy that arrives after the check, while the next request is written, would be one of an answer; agatedale-entry's servers echo no id that would tell it (open).

--- a/src/node/backend_connection.cpp
+++ b/src/node/backend_connection.cpp
@@ -297,6 +297,8 @@
 }
 
 bool backend_connection::isStale() {
+  if (Session->hasEnded() || Session->hasUnreadBytes())
+    return true;
   try {
     return Session->socket().poll(Poco::Timespan(0),
                                   Poco::Net::Socket::SELECT_READ);
--- a/tests/unit/backend_connection_test.cpp
+++ b/tests/unit/backend_connection_test.cpp
@@ -171,4 +171,18 @@
   }
 }
 
+// The second answer may be in the same packet as the first one.
+BOOST_AUTO_TEST_CASE(BytesBehindAnAnswerMakeTheConnectionStale) {
+  for (const std::size_t Bytes : {std::size_t{1}, Refusal.size()}) {
+    connected_backend Backend;
+    const attempt_result Result =
+        Backend.run("GET", WithLength + Refusal.substr(0, Bytes));
+    BOOST_TEST(isWholeAnswer(Result));
+    BOOST_TEST(Backend.Connection->isStale());
+  }
+  connected_backend Backend;
+  BOOST_TEST(isWholeAnswer(Backend.run("GET", WithLength)));
+  BOOST_TEST(!Backend.Connection->isStale());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
