agatedale-entry: an answer of the platform that is cut in its head is an error

What operators would see: a write or a read of an empty row that succeeded with version 0, from a platform that stopped in the head of its answer and closed. The next conditional write with that version means "the row does not exist".

Cause: as for backend servers, POCO takes the end of the connection for the end of the head; "Content-Length: 0" before the cut made the empty body complete, and the ETag was missing.

Evidence, platform_client_test/AnswerCutAtAnyByteIsAnError before: check errorOf(Client.writeRow("x", "", 16)) has failed check errorOf(Client.readRow("x")) has failed

Fix: the session observes its socket; the end of the connection before the end of the head is an error of unknown effect. Bodies were compared with their length before.

--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -2,12 +2,12 @@
 /// HTTP calls to the platform's services.
 #include "agatedale/platform_client.h"
 #include "../http/address.h"
+#include "../http/observed_session.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/StreamCopier.h>
@@ -57,20 +57,26 @@
                       std::string_view Body, const std::string &Condition) {
   bool Sent = false;
   try {
-    Poco::Net::HTTPClientSession Session(Host, Port);
-    Session.setTimeout(Poco::Timespan(Timeout.count() * 1000));
+    const Poco::Timespan Limit(Timeout.count() * 1000);
+    const auto Session =
+        observed_session::connect(Poco::Net::SocketAddress(Host, Port), Limit);
+    Session->socket().setReceiveTimeout(Limit);
+    Session->socket().setSendTimeout(Limit);
     HTTPRequest Request(Method, Path, HTTPRequest::HTTP_1_1);
+    Request.setHost(Host, Port);
     Request.setKeepAlive(false);
     Request.setContentLength64(static_cast<Poco::Int64>(Body.size()));
     if (Condition == "0")
       Request.set("If-None-Match", "*");
     else if (!Condition.empty())
       Request.set("If-Match", "\"" + Condition + "\"");
-    std::ostream &Output = Session.sendRequest(Request);
+    std::ostream &Output = Session->sendRequest(Request);
     Sent = true;
     Output.write(Body.data(), static_cast<std::streamsize>(Body.size()));
     HTTPResponse Response;
-    std::istream &Input = Session.receiveResponse(Response);
+    std::istream &Input = Session->receiveResponse(Response);
+    if (Session->hasEnded())
+      return error{error_kind::Unknown, "platform: truncated answer head"};
     reply Reply;
     Poco::StreamCopier::copyToString(Input, Reply.Body);
     const bool BodyComplete = Response.getContentLength64() ==
