agatedale-entry: an odd entry in the list of VMs hides no other VM

Other operators: one odd entry in a list, and the machines that read the list stopped following it. In agatedale-entry, yes: an entry of another type, or without a field, made the whole list an error, at each reading.

Evidence, platform_client_test/OddEntryOfTheListOfVmsHidesNoOther before: fatal error: 7 (critical check !errorOf(Vms) with the entry 7)

Fix: such an entry is left out with a log line; the others hold.

--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// HTTP calls to the platform's services.
 #include "agatedale/platform_client.h"
+#include "../core/log.h"
 #include "../http/address.h"
 #include "../http/observed_session.h"
 
@@ -16,7 +17,9 @@
 
 #include <fmt/format.h>
 
+#include <array>
 #include <cstdlib>
+#include <optional>
 
 namespace agatedale {
 
@@ -36,6 +39,20 @@
   return Tag.size() < 2 ? 0 : std::strtoull(Tag.c_str() + 1, nullptr, 10);
 }
 
+/// Returns nothing if a field is missing or has another type.
+std::optional<listed_vm> readVm(const Poco::JSON::Object::Ptr &Json) {
+  std::array<std::string, 4> Texts;
+  std::size_t Count = 0;
+  for (const char *Field : {"name", "ip", "zone", "state"}) {
+    const Poco::Dynamic::Var Value =
+        Json ? Json->get(Field) : Poco::Dynamic::Var();
+    if (Value.isEmpty() || !Value.isString())
+      return std::nullopt;
+    Texts[Count++] = Value.extract<std::string>();
+  }
+  return listed_vm{Texts[0], Texts[1], Texts[2], Texts[3] == "leaving"};
+}
+
 error unexpected(std::string_view What, int Status) {
   return {error_kind::Unavailable,
           fmt::format("{}: platform answered with status {}", What, Status)};
@@ -166,11 +183,10 @@
         Parser.parse(valueOf(Reply).Body).extract<Poco::JSON::Array::Ptr>();
     std::vector<listed_vm> Vms;
     for (std::size_t I = 0; I < List->size(); ++I) {
-      const auto Json = List->getObject(static_cast<unsigned>(I));
-      Vms.push_back({Json->getValue<std::string>("name"),
-                     Json->getValue<std::string>("ip"),
-                     Json->getValue<std::string>("zone"),
-                     Json->getValue<std::string>("state") == "leaving"});
+      if (auto Vm = readVm(List->getObject(static_cast<unsigned>(I))))
+        Vms.push_back(std::move(*Vm));
+      else
+        logLine(log_level::Warning, "listed-vm-malformed", {{"entry", I}});
     }
     return Vms;
   } catch (const Poco::Exception &Failure) {
--- a/tests/unit/platform_client_test.cpp
+++ b/tests/unit/platform_client_test.cpp
@@ -77,6 +77,23 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(OddEntryOfTheListOfVmsHidesNoOther) {
+  const std::string Good =
+      R"({"name":"vm-1","ip":"10.0.0.1","zone":"a","state":"active"})";
+  for (const std::string &Odd :
+       {std::string("7"), std::string("null"), std::string("[]"),
+        std::string("{}"),
+        std::string(R"({"name":"vm-2","ip":"10.0.0.2","zone":"a"})"),
+        std::string(R"({"name":"vm-2","ip":7,"zone":"a","state":"active"})")})
+    callAnsweredWith(answerWith("[" + Odd + "," + Good + "]"),
+                     [&Odd](platform_client &Client) {
+                       const auto Vms = Client.listVms();
+                       BOOST_REQUIRE_MESSAGE(!errorOf(Vms), Odd);
+                       BOOST_REQUIRE(valueOf(Vms).size() == 1U);
+                       BOOST_TEST(valueOf(Vms).front().Name == "vm-1");
+                     });
+}
+
 // The whole list is unreadable, and the process goes on.
 BOOST_AUTO_TEST_CASE(DeeplyNestedListOfVmsIsAnError) {
   for (const std::string &Deep :
