--- a/src/config/configuration_reader.cpp
+++ b/src/config/configuration_reader.cpp
@@ -6,6 +6,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <charconv>
+#include <cstdint>
 #include <functional>
 #include <sstream>
 
@@ -70,9 +72,11 @@
   if (Colon == std::string_view::npos || Colon == 0)
     return false;
   const std::string_view Port = Address.substr(Colon + 1);
-  return !Port.empty() && Port.size() <= 5 &&
-         std::all_of(Port.begin(), Port.end(),
-                     [](char C) { return C >= '0' && C <= '9'; });
+  std::uint16_t Number = 0;
+  const auto [End, Status] =
+      std::from_chars(Port.data(), Port.data() + Port.size(), Number);
+  return Status == std::errc() && End == Port.data() + Port.size() &&
+         Number != 0;
 }
 
 constexpr std::int64_t MaxTimeoutMs = 600'000;
--- a/tests/unit/configuration_test.cpp
+++ b/tests/unit/configuration_test.cpp
@@ -90,6 +90,17 @@
   BOOST_TEST(contains(Text, "unknown service 'oders'"), Text);
 }
 
+BOOST_AUTO_TEST_CASE(ServerWithAPortOutOfRangeIsRejected) {
+  for (const char *Address : {"127.0.0.1:65536", "127.0.0.1:99999",
+                              "127.0.0.1:0", "127.0.0.1:", "127.0.0.1", ":80"})
+    BOOST_TEST(contains(errorTextOf(MinimalDocument +
+                                    "[servers.s1]\nservice = \"orders\"\n"
+                                    "zone = \"a\"\naddress = \"" +
+                                    Address + "\"\n"),
+                        "address"),
+               Address);
+}
+
 BOOST_AUTO_TEST_CASE(SyntaxErrorNamesLineAndColumn) {
   BOOST_TEST(contains(errorTextOf("[regions.r\n"), "test.toml:1:"));
 }
