Servers that say in an answer that they leave get no new request

What callers saw: nothing read the header Server-Leaving, so a server that announced its end in its answers was sent requests until its row said so; with a store out of touch until it was gone.

Why it works: the head of every answer is examined as soon as it is complete. leaving_servers keeps the name and the highest start that announced its end, and the rows are marked where they are decoded, so rows, restored or not, the grace period and later answers change nothing. The reply of an owner and a forwarded request name the leaving servers of the group's service and zone, so both ends of the hop know them before they pass the answer or the request on.

Ruled out: heartbeats as the carrier, see docs/PLATFORM.md. Not covered: an answer of a new start that comes before its row.

--- a/include/agatedale/server_group.h
+++ b/include/agatedale/server_group.h
@@ -30,10 +30,11 @@
 struct send_action {
   request_id Request = 0;
   attempt_id Attempt = 0;
-  std::string Server;  ///< Name of the backend server.
-  std::string Address; ///< "ip:port" of the backend server.
-  time_point Deadline; ///< Of this attempt; sent to the server.
-  bool Hedge = false;  ///< Duplicates an attempt in flight.
+  std::string Server;            ///< Name of the backend server.
+  std::string Address;           ///< "ip:port" of the backend server.
+  time_point Deadline;           ///< Of this attempt; sent to the server.
+  bool Hedge = false;            ///< Duplicates an attempt in flight.
+  std::uint64_t ServerStart = 0; ///< As backend_server::Start.
 };
 
 /// Instructs the caller to cancel an attempt whose answer is not needed.
@@ -62,6 +63,7 @@
 struct load_query_action {
   std::string Server;
   std::string Address;
+  std::uint64_t ServerStart = 0; ///< As backend_server::Start.
 };
 
 /// Instructs the caller to deliver an attempt's answer to the client.
--- a/src/core/server_group.cpp
+++ b/src/core/server_group.cpp
@@ -189,7 +189,8 @@
   State.StartLimiter.onSent(Now, coldRate(State, Now));
   Request.Attempts.push_back(Id);
   Actions.push_back(send_action{Item.Id, Id, State.Server.Name,
-                                State.Server.Address, Attempt.Deadline, Hedge});
+                                State.Server.Address, Attempt.Deadline, Hedge,
+                                State.Server.Start});
 }
 
 void server_group::abandonOthers(running_request &Request, attempt_id Winner,
--- a/src/core/server_group_speed.cpp
+++ b/src/core/server_group_speed.cpp
@@ -140,8 +140,8 @@
     ++PendingQueries;
     State->IsQueryPending = true;
     State->LastQueryAt = Now;
-    Actions.push_back(
-        load_query_action{State->Server.Name, State->Server.Address});
+    Actions.push_back(load_query_action{
+        State->Server.Name, State->Server.Address, State->Server.Start});
   }
 }
 
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -209,6 +209,8 @@
   ServerRows.update(Mirror.rows(store_table::Servers), platform::decodeServer);
   std::map<std::string, backend_server> Servers = ServerRows.values();
   retainExpiredServers(Servers);
+  for (auto &[Name, Server] : Servers)
+    Server.Leaving |= Leaving.isLeaving(Name, Server.Start);
   LastServers = Servers;
   std::vector<backend_server> List;
   List.reserve(Servers.size());
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "agatedale/gateway_settings.h"
+#include "agatedale/leaving_servers.h"
 #include "agatedale/outage_grace_period.h"
 #include "agatedale/store_follower.h"
 #include "agatedale/store_mirror.h"
@@ -35,9 +36,11 @@
     std::function<void()> OnStoreAnswered; ///< A read of the store succeeded.
   };
 
+  /// Servers in \p Leaving count as leaving, whatever their rows say.
   fleet_state(const gateway_settings &Settings, vm_directory &Vms,
-              store_worker &Worker, handlers Handlers)
-      : Settings(Settings), Vms(Vms), Worker(Worker),
+              store_worker &Worker, const leaving_servers &Leaving,
+              handlers Handlers)
+      : Settings(Settings), Vms(Vms), Worker(Worker), Leaving(Leaving),
         Handlers(std::move(Handlers)), Follower({}) {}
 
   /// Delays the first read of the store.
@@ -49,6 +52,9 @@
   /// Applies an update relayed by a peer.
   void applyPeerUpdate(const table_update &Update);
 
+  /// Applies servers that were added to those that leave.
+  void onServersLeaving() { rebuild(); }
+
   /// Returns the replica from which peers are updated.
   const store_mirror &mirror() const { return Mirror; }
 
@@ -82,6 +88,7 @@
   gateway_settings Settings;
   vm_directory &Vms;
   store_worker &Worker;
+  const leaving_servers &Leaving;
   handlers Handlers;
   store_mirror Mirror;
   std::vector<entry_vm> ZoneVms; ///< Known before the first snapshot.
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "agatedale/http_message.h"
+#include "agatedale/leaving_servers.h"
 #include "agatedale/server_group.h"
 #include "agatedale/verdict.h"
 
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -19,6 +19,7 @@
 #include <chrono>
 #include <optional>
 #include <random>
+#include <span>
 
 namespace agatedale {
 
@@ -132,6 +133,8 @@
   void applyHeartbeat(const wire_gateway::Heartbeat &Message);
   void onVmListChanged();
   void onSnapshotChanged();
+  void onServersLeaving(std::span<const leaving_server> Servers,
+                        std::string_view Source);
   /// Returns the key of the row of a VM of the own zone.
   std::string rowKey(std::string_view Vm) const {
     return platform::vmKey(Settings.Zone, Vm);
@@ -149,6 +152,7 @@
   gateway_settings Settings;
   metrics Metrics;
   vm_directory Vms;
+  leaving_servers Leaving;
   std::unique_ptr<group_host> Host;
   std::unique_ptr<request_router> Router;
   std::unique_ptr<store_worker> Worker;
@@ -176,14 +180,20 @@
     return *Error;
   Loop = moveValue(std::move(LoopResult));
   Host = std::make_unique<group_host>(*Loop, Settings);
-  Router =
-      std::make_unique<request_router>(*Loop, Settings, Vms, *Host, Metrics);
+  Host->setLeavingHandler([this](const leaving_server &Server) {
+    onServersLeaving(std::span(&Server, 1), "answer");
+  });
+  Router = std::make_unique<request_router>(*Loop, Settings, Vms, *Host,
+                                            Leaving, Metrics);
+  Router->setLeavingHandler([this](std::span<const leaving_server> Servers) {
+    onServersLeaving(Servers, "peer");
+  });
   auto WorkerResult = store_worker::start(*Loop, Settings.StoreAddress);
   if (const error *Error = errorOf(WorkerResult))
     return *Error;
   Worker = moveValue(std::move(WorkerResult));
   FleetState = std::make_unique<fleet_state>(
-      Settings, Vms, *Worker,
+      Settings, Vms, *Worker, Leaving,
       fleet_state::handlers{[this] { onSnapshotChanged(); },
                             [this] { onVmListChanged(); },
                             [this] { scheduleHeartbeats(); }});
@@ -403,6 +413,31 @@
   updateReady();
 }
 
+/// Takes servers that have announced that they leave out of use. \p Source is
+/// "answer" if this VM received the announcement itself.
+void gateway_node::impl::onServersLeaving(
+    std::span<const leaving_server> Servers, std::string_view Source) {
+  const time_point Now = bootNow();
+  bool HasNew = false;
+  for (const leaving_server &Server : Servers) {
+    if (!Leaving.record(Server, Now))
+      continue;
+    HasNew = true;
+    Metrics.increment("agatedale_servers_leaving_total",
+                      formatLabel("source", Source));
+    logLine(log_level::Info, "server-leaving",
+            {{"server", Server.Name},
+             {"start", Server.Start},
+             {"service", Server.Service},
+             {"zone", Server.Zone},
+             {"source", Source},
+             {"replica_age_ms", toMillis(Now - FleetState->mirror().asOf(
+                                                   store_table::Servers))}});
+  }
+  if (HasNew)
+    FleetState->onServersLeaving();
+}
+
 double gateway_node::impl::drawShare() {
   return std::uniform_real_distribution<double>(0, 1)(Random);
 }
--- a/src/gateway/group_host.cpp
+++ b/src/gateway/group_host.cpp
@@ -134,8 +134,8 @@
   const auto Found = Requests.find(Order.Request);
   if (Found == Requests.end()) {
     // The request was cancelled while the group decided to send it.
-    Loop.post([this, Id, Attempt = Order.Attempt] {
-      onResult(Id, Attempt, {attempt_outcome::NotSent, {}, std::nullopt});
+    Loop.post([this, Id, Order] {
+      onResult(Id, Order, {attempt_outcome::NotSent, {}, std::nullopt});
     });
     return;
   }
@@ -143,10 +143,9 @@
   Request.Server = Order.Server;
   ++Request.Attempts;
   Groups.at(Id)->Calls[Order.Attempt] =
-      Pool.send(Order, Request.Request,
-                [this, Id, Attempt = Order.Attempt](call_result Result) {
-                  onResult(Id, Attempt, std::move(Result));
-                });
+      Pool.send(Order, Request.Request, [this, Id, Order](call_result Result) {
+        onResult(Id, Order, std::move(Result));
+      });
 }
 
 void group_host::probeLoad(const group_id &Id, const load_query_action &Order) {
@@ -154,20 +153,28 @@
   const std::string Path = Service == Snapshot->Config->services().end()
                                ? std::string()
                                : Service->second.LoadPath;
-  Pool.probeLoad(
-      Order, Path, [this, Id, Server = Order.Server](call_result Result) {
-        const bool HasReport =
-            Result.Outcome == attempt_outcome::Answered && Result.Report;
-        executeActions(
-            Id, Groups.at(Id)->Group.onLoadQueryResult(
-                    Server, HasReport ? &*Result.Report : nullptr, bootNow()));
-      });
+  Pool.probeLoad(Order, Path, [this, Id, Order](call_result Result) {
+    reportLeaving(Id, Order.Server, Order.ServerStart, Result);
+    const bool HasReport =
+        Result.Outcome == attempt_outcome::Answered && Result.Report;
+    executeActions(Id, Groups.at(Id)->Group.onLoadQueryResult(
+                           Order.Server, HasReport ? &*Result.Report : nullptr,
+                           bootNow()));
+  });
+}
+
+void group_host::reportLeaving(const group_id &Id, const std::string &Server,
+                               std::uint64_t Start, const call_result &Result) {
+  if (Result.SaidLeaving && OnLeaving)
+    OnLeaving({Server, Start, Id.Service, Id.Zone});
 }
 
-void group_host::onResult(const group_id &Id, attempt_id Attempt,
+void group_host::onResult(const group_id &Id, const send_action &Order,
                           call_result Result) {
   hosted_group &Hosted = *Groups.at(Id);
+  const attempt_id Attempt = Order.Attempt;
   Hosted.Calls.erase(Attempt);
+  reportLeaving(Id, Order.Server, Order.ServerStart, Result);
   const attempt_outcome Outcome = Result.Outcome;
   const std::optional<server_report> Report = Result.Report;
   Hosted.Responses[Attempt] = std::move(Result);
--- a/src/gateway/group_host.h
+++ b/src/gateway/group_host.h
@@ -3,10 +3,12 @@
 #pragma once
 
 #include "agatedale/gateway_settings.h"
+#include "agatedale/leaving_servers.h"
 #include "fleet_snapshot.h"
 #include "forward.h"
 #include "server_pool.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -23,6 +25,12 @@
   group_host(event_loop &Loop, const gateway_settings &Settings)
       : Loop(Loop), Settings(Settings), Pool(Loop, Settings.BodyBytes) {}
 
+  /// Sets the handler for a server that has said that it leaves. It is called
+  /// before the group decides what follows the answer.
+  void setLeavingHandler(std::function<void(const leaving_server &)> Handler) {
+    OnLeaving = std::move(Handler);
+  }
+
   /// Applies the services and servers of a newer snapshot to all groups.
   void setSnapshot(std::shared_ptr<const fleet_snapshot> NewSnapshot);
 
@@ -68,8 +76,11 @@
   void executeActions(const group_id &Id,
                       const std::vector<group_action> &Actions);
   void send(const group_id &Id, const send_action &Order);
+  void reportLeaving(const group_id &Id, const std::string &Server,
+                     std::uint64_t Start, const call_result &Result);
   void probeLoad(const group_id &Id, const load_query_action &Order);
-  void onResult(const group_id &Id, attempt_id Attempt, call_result Result);
+  void onResult(const group_id &Id, const send_action &Order,
+                call_result Result);
   void cancelCall(const group_id &Id, attempt_id Attempt);
   void deliver(const group_id &Id, const deliver_action &Order);
   void refuse(const group_id &Id, const group_refusal &Refusal);
@@ -78,6 +89,7 @@
   event_loop &Loop;
   gateway_settings Settings;
   server_pool Pool;
+  std::function<void(const leaving_server &)> OnLeaving;
   std::shared_ptr<const fleet_snapshot> Snapshot;
   std::map<group_id, std::unique_ptr<hosted_group>> Groups;
   std::map<forward_ticket, hosted_request> Requests;
--- a/src/gateway/http_codec.cpp
+++ b/src/gateway/http_codec.cpp
@@ -176,6 +176,7 @@
 response_decoder::~response_decoder() = default;
 
 void response_decoder::restart() {
+  HeadReported = false;
   Parser = std::make_unique<parser>();
   Parser->Parse.eager(true);
   Parser->Parse.skip(IsHeadRequest);
@@ -183,11 +184,22 @@
   Parser->Parse.body_limit(Limits.BodyBytes);
 }
 
+void response_decoder::reportHead() {
+  if (HeadReported || !OnHead || !Parser->Parse.is_header_done())
+    return;
+  HeadReported = true;
+  header_list Headers;
+  for (const auto &Field : Parser->Parse.get())
+    Headers.add(toView(Field.name_string()), toView(Field.value()));
+  OnHead(static_cast<int>(Parser->Parse.get().result_int()), Headers);
+}
+
 decode_state response_decoder::feed(std::string &Buffer) {
   while (true) {
     boost::system::error_code Failure;
     const decode_state State =
         feedParser(Parser->Parse, Buffer, AnyBytesFed, Failure);
+    reportHead();
     // The parser keeps chunk extensions and trailers unread until they end.
     if (State == decode_state::NeedMore && Buffer.size() > Limits.HeaderBytes)
       return decode_state::Failed;
--- a/src/gateway/http_codec.h
+++ b/src/gateway/http_codec.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -65,6 +66,14 @@
   response_decoder(const message_limits &Limits, bool IsHeadRequest);
   ~response_decoder();
 
+  /// Called with the status and the headers of a response as soon as these are
+  /// complete, also of interim responses and of ones that end early.
+  using head_handler =
+      std::function<void(int Status, const header_list &Headers)>;
+  void setHeadHandler(head_handler NewHandler) {
+    OnHead = std::move(NewHandler);
+  }
+
   /// Consumes bytes from the front of \p Buffer. Bytes after the end of the
   /// response stay in the buffer.
   decode_state feed(std::string &Buffer);
@@ -85,6 +94,7 @@
 
 private:
   void restart();
+  void reportHead();
 
   struct parser;
   std::unique_ptr<parser> Parser;
@@ -92,6 +102,8 @@
   bool IsHeadRequest;
   bool AnyBytesFed = false;
   int InterimResponses = 0;
+  head_handler OnHead;
+  bool HeadReported = false;
 };
 
 /// Encodes a request. \p Host is sent in the Host header unless the request has
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -108,9 +108,9 @@
 request_router::request_router(event_loop &Loop,
                                const gateway_settings &Settings,
                                vm_directory &Vms, group_host &Host,
-                               metrics &Metrics)
-    : Loop(Loop), Settings(Settings), Vms(Vms), Host(Host), Metrics(Metrics),
-      Selector(group_selector::create(selectorSettings())),
+                               const leaving_servers &Leaving, metrics &Metrics)
+    : Loop(Loop), Settings(Settings), Vms(Vms), Host(Host), Leaving(Leaving),
+      Metrics(Metrics), Selector(group_selector::create(selectorSettings())),
       Random(stableHash(Settings.Vm)) {}
 
 void request_router::refuseImmediately(
@@ -234,7 +234,7 @@
   const time_point Now = bootNow();
   ActiveRequest->HostTicket = 0;
   ActiveRequest->Cancel = Peers->forward(
-      Owner, toMessage(ActiveRequest->Request, Now),
+      Owner, makeForward(ActiveRequest->Request, Now),
       ActiveRequest->Request.Deadline + PeerResponseGrace - Now,
       [this, ActiveRequest, Owner](const wire_gateway::Forwarded *Reply,
                                    peer_failure Failure) {
@@ -242,12 +242,28 @@
       });
 }
 
+wire_gateway::Forward
+request_router::makeForward(const forward_request &Request,
+                            time_point Now) const {
+  wire_gateway::Forward Message = toMessage(Request, Now);
+  addLeaving(Leaving, Request.Group, Now, Message);
+  return Message;
+}
+
+template <typename Message>
+void request_router::learnLeaving(const Message &In, const group_id &Group) {
+  const std::vector<leaving_server> Servers = readLeaving(In, Group);
+  if (!Servers.empty() && OnLeaving)
+    OnLeaving(Servers);
+}
+
 void request_router::onPeerResponse(const active_request_ptr &ActiveRequest,
                                     const entry_vm &Owner,
                                     const wire_gateway::Forwarded *Reply,
                                     peer_failure Failure) {
   if (Reply) {
     Vms.recordForwardSuccess(Owner.Id.Name);
+    learnLeaving(*Reply, ActiveRequest->Request.Group);
     onResponse(ActiveRequest, fromMessage(*Reply));
     return;
   }
@@ -405,10 +421,13 @@
     Done(toMessage(Refused));
     return Ticket;
   }
-  const auto Finish = [this, Ticket, Done,
-                       Share](const forward_response &Response) {
+  learnLeaving(Message, Request.Group);
+  const auto Finish = [this, Ticket, Done, Share, Group = Request.Group](
+                          const forward_response &Response) {
     PeerRequests.erase(Ticket);
-    Done(toMessage(Response));
+    wire_gateway::Forwarded Reply = toMessage(Response);
+    addLeaving(Leaving, Group, bootNow(), Reply);
+    Done(std::move(Reply));
   };
   const std::string_view Region =
       Snapshot ? Snapshot->Config->regionOf(Request.Group.Zone)
@@ -425,9 +444,12 @@
   }
   Request.Relayed = true;
   auto Cancel = Peers->forward(
-      *Owner, toMessage(Request, Now),
+      *Owner, makeForward(Request, Now),
       Request.Deadline + PeerResponseGrace - Now,
-      [Finish](const wire_gateway::Forwarded *Reply, peer_failure Failure) {
+      [this, Finish, Group = Request.Group](
+          const wire_gateway::Forwarded *Reply, peer_failure Failure) {
+        if (Reply)
+          learnLeaving(*Reply, Group);
         forward_response Response;
         Response.Reason = refusal_reason::OwnerLost;
         Response.Verdict = Failure == peer_failure::NotSent
--- a/src/gateway/request_router.h
+++ b/src/gateway/request_router.h
@@ -4,6 +4,7 @@
 
 #include "agatedale/gateway_settings.h"
 #include "agatedale/group_selector.h"
+#include "agatedale/leaving_servers.h"
 #include "agatedale/metrics.h"
 #include "agatedale/vm_directory.h"
 #include "agatedale/weighted_round_robin.h"
@@ -12,10 +13,12 @@
 #include "group_host.h"
 #include "peer_transport.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
 
 namespace agatedale {
@@ -29,7 +32,15 @@
 class request_router {
 public:
   request_router(event_loop &Loop, const gateway_settings &Settings,
-                 vm_directory &Vms, group_host &Host, metrics &Metrics);
+                 vm_directory &Vms, group_host &Host,
+                 const leaving_servers &Leaving, metrics &Metrics);
+
+  /// Sets the handler for servers that a peer knows to leave. It is called
+  /// before the answer or the request that came with them is passed on.
+  void setLeavingHandler(
+      std::function<void(std::span<const leaving_server>)> Handler) {
+    OnLeaving = std::move(Handler);
+  }
 
   /// Sets the transport for calls to peers, which is created after the router.
   void setPeers(peer_transport &Transport) { Peers = &Transport; }
@@ -91,12 +102,18 @@
   void onOverdue(const active_request_ptr &ActiveRequest);
   forward_response stoppingResponse(forward_ticket HostTicket);
   void onCallerDisconnected(const active_request_ptr &ActiveRequest);
+  wire_gateway::Forward makeForward(const forward_request &Request,
+                                    time_point Now) const;
+  template <typename Message>
+  void learnLeaving(const Message &In, const group_id &Group);
   http_response_message makeRefusal(const forward_response &Response);
 
   event_loop &Loop;
   gateway_settings Settings;
   vm_directory &Vms;
   group_host &Host;
+  const leaving_servers &Leaving;
+  std::function<void(std::span<const leaving_server>)> OnLeaving;
   metrics &Metrics;
   peer_transport *Peers = nullptr;
   std::shared_ptr<body_budget> Bodies;
--- a/src/gateway/server_pool.cpp
+++ b/src/gateway/server_pool.cpp
@@ -66,6 +66,7 @@
   void failCall(attempt_outcome Outcome);
   bool isTooLarge();
   void onMismatchedAnswer();
+  void beginDecoding();
   void onResponse();
   void finishCall(call_result Result);
 
@@ -78,6 +79,7 @@
   /// Set after a response that does not match the request, or a failed call.
   bool Tainted = false;
   bool NotReusable = false;
+  bool SaidLeaving = false; ///< In a response to the current call.
   int MismatchedAnswers = 0;
   body_reservation Share; ///< Of the body that is being received.
   std::uint64_t BytesSentBefore = 0;
@@ -132,8 +134,8 @@
 
 void server_connection::startCall(const std::shared_ptr<server_call> &Next) {
   Call = Next;
-  Decoder =
-      std::make_unique<response_decoder>(ResponseLimits, Call->IsHeadRequest);
+  SaidLeaving = false;
+  beginDecoding();
   Share = body_reservation(Pool.Bodies);
   BytesSentBefore = Stream->bytesSent();
   const std::weak_ptr<server_connection> Weak = weak_from_this();
@@ -199,8 +201,15 @@
     failCall(attempt_outcome::ConnectionLost);
     return;
   }
+  beginDecoding();
+}
+
+void server_connection::beginDecoding() {
   Decoder =
       std::make_unique<response_decoder>(ResponseLimits, Call->IsHeadRequest);
+  Decoder->setHeadHandler([this](int Status, const header_list &Headers) {
+    SaidLeaving |= platform::saysLeaving(Status, Headers);
+  });
 }
 
 void server_connection::onResponse() {
@@ -253,6 +262,7 @@
   Call = nullptr;
   Pool.Loop.cancel(FinishedCall->Timer);
   FinishedCall->Connection = nullptr;
+  Result.SaidLeaving = SaidLeaving;
   const bool MayReuse = !Tainted && !NotReusable && Buffer.empty() &&
                         !Stream->hasUnsent() && !Stream->isClosed();
   Decoder.reset();
--- a/src/gateway/server_pool.h
+++ b/src/gateway/server_pool.h
@@ -22,6 +22,7 @@
   attempt_outcome Outcome = attempt_outcome::NotSent;
   http_response_message Response; ///< Empty unless a response was received.
   std::optional<server_report> Report;
+  bool SaidLeaving = false; ///< In any response, also one that broke off.
 };
 
 class server_connection;
--- a/src/gateway/wire_convert.h
+++ b/src/gateway/wire_convert.h
@@ -2,12 +2,14 @@
 /// Conversion between gateway messages and the project's types.
 #pragma once
 
+#include "agatedale/leaving_servers.h"
 #include "agatedale/store_mirror.h"
 #include "forward.h"
 
 #include "gateway.pb.h"
 
 #include <span>
+#include <vector>
 
 namespace agatedale {
 
@@ -19,6 +21,31 @@
 agatedale::gateway::Forwarded toMessage(const forward_response &Answer);
 forward_response fromMessage(const agatedale::gateway::Forwarded &Message);
 
+/// Adds the servers of \p Group that leave to a Forward or Forwarded message.
+template <typename Message>
+void addLeaving(const leaving_servers &Leaving, const group_id &Group,
+                time_point Now, Message &Out) {
+  for (const leaving_server &Server :
+       Leaving.toShare(Group.Service, Group.Zone, Now)) {
+    agatedale::gateway::LeavingServer &Wire = *Out.add_leaving();
+    Wire.set_name(Server.Name);
+    Wire.set_start(Server.Start);
+  }
+}
+
+/// Returns the servers of \p Group that a peer knows to leave.
+template <typename Message>
+std::vector<leaving_server> readLeaving(const Message &In,
+                                        const group_id &Group) {
+  std::vector<leaving_server> Servers;
+  for (const agatedale::gateway::LeavingServer &Wire : In.leaving()) {
+    if (Servers.size() == leaving_servers::MaxShared)
+      break;
+    Servers.push_back({Wire.name(), Wire.start(), Group.Service, Group.Zone});
+  }
+  return Servers;
+}
+
 agatedale::gateway::TableNews toMessage(const table_update &Update,
                                         time_point Now);
 void addRows(std::span<const stored_row> Rows,
