Servers that turn a request away for a stated time get none meanwhile

What callers saw: Retry-After in a server's 503 was not read. The server was sent requests and load queries all the same, and callers of a service whose servers had all asked for time were told to return after 60 ms.

Why it works: server_holds keeps the end of the hold for each server and start on the VM that was told, server_group counts a held server as closed, so requests, load queries, expected waits and reported limits leave it out. While all servers of a group are held its requests, queued ones too, are refused at once as not run, with the time until the first hold ends and one service time for each caller that was refused since.

Not built: sharing holds in a group; each owner learns with one refusal, and no figures speak for more yet.

--- a/include/agatedale/server_group.h
+++ b/include/agatedale/server_group.h
@@ -8,6 +8,7 @@
 #include "agatedale/fair_queue.h"
 #include "agatedale/outlier_detector.h"
 #include "agatedale/retry_budget.h"
+#include "agatedale/server_holds.h"
 #include "agatedale/slot_limit.h"
 #include "agatedale/verdict.h"
 
@@ -178,6 +179,19 @@
   /// Sets the number of retries that can accumulate unused in this group.
   void setRetryBurst(double Retries) { Budget.setBurst(Retries); }
 
+  /// Sets the holds that apply to servers which are added. \p NewHolds must
+  /// outlive the group.
+  void setHolds(const server_holds &NewHolds) { Holds = &NewHolds; }
+
+  /// Sends \p Server nothing, neither requests nor load queries, until
+  /// \p Until, because it asked for that. To be called before finish() for the
+  /// attempt that it turned away.
+  void hold(std::string_view Server, std::uint64_t Start, time_point Until);
+
+  /// Returns when the first server may be sent a request again if all servers
+  /// are held, else nothing.
+  std::optional<time_point> allHeldUntil(time_point Now) const;
+
   /// Applies a changed list of servers. Added servers start cold. Removed and
   /// leaving servers finish their attempts in flight and get no new ones.
   std::vector<group_action> setServers(std::span<const backend_server> Servers,
@@ -265,6 +279,7 @@
     std::vector<time_point> SlotReleaseTimes; ///< Of failed attempts.
     bool Gone = false;
     time_point DrainingUntil{};
+    time_point HeldUntil{};
     cold_start_limiter StartLimiter;
     time_point ColdUntil{};
     outlier_detector Health;
@@ -299,6 +314,8 @@
   void refuseUnmeetable(time_point Now, std::vector<group_action> &Actions);
   duration expectedServiceTime(const work_item &Item) const;
   bool isClosed(const server_state &State, time_point Now) const;
+  duration retryAfter(time_point Now);
+  void refuseIfAllHeld(time_point Now, std::vector<group_action> &Actions);
   int freeSlots(const server_state &State, time_point Now) const;
   int occupied(const server_state &State, time_point Now) const;
   double expectedMicros(const server_state &State, time_point Now) const;
@@ -352,6 +369,8 @@
   attempt_id NextAttempt = 1;
   double TypicalMicros = 0;
   std::map<std::string, double, std::less<>> RouteMicros; ///< By route.
+  const server_holds *Holds = nullptr;
+  int RefusedWhileHeld = 0;      ///< Refusals since all servers are held.
   bool EjectionsEnforced = true; ///< At most half of the servers are ejected.
   bool IsZoneActive = true;
   bool HandedOver = false;
--- a/src/core/server_group.cpp
+++ b/src/core/server_group.cpp
@@ -44,12 +44,34 @@
                           time_point Now, std::vector<group_action> &Actions) {
   ++Counters.Refused;
   Running.erase(Item.Id);
-  const double Backlog = static_cast<double>(Queue.size()) + 1;
-  const duration RetryAfter =
-      fromMicros(Backlog * TypicalMicros / std::max(totalLimit(Now), 1));
   Actions.push_back(group_refusal{
       Item.Id, Reason, Item.MayHaveRun ? verdict::MayHaveRun : verdict::NotRun,
-      RetryAfter, Item.AttemptsMade});
+      retryAfter(Now), Item.AttemptsMade});
+}
+
+duration server_group::retryAfter(time_point Now) {
+  const std::optional<time_point> HeldUntil = allHeldUntil(Now);
+  if (!HeldUntil) {
+    RefusedWhileHeld = 0;
+    const double Backlog = static_cast<double>(Queue.size()) + 1;
+    return fromMicros(Backlog * TypicalMicros / std::max(totalLimit(Now), 1));
+  }
+  // Callers that are refused during a hold are told to return one after the
+  // other at the rate at which the servers begin after it, one at a time each.
+  const double Rate = static_cast<double>(std::max<std::size_t>(
+      std::count_if(Servers.begin(), Servers.end(),
+                    [](const server_state &State) { return !State.Gone; }),
+      1));
+  return *HeldUntil - Now +
+         fromMicros(RefusedWhileHeld++ * TypicalMicros / Rate);
+}
+
+void server_group::refuseIfAllHeld(time_point Now,
+                                   std::vector<group_action> &Actions) {
+  if (Queue.empty() || !allHeldUntil(Now))
+    return;
+  for (const work_item &Item : Queue.drain())
+    refuse(Item, refusal_reason::ServerShed, Now, Actions);
 }
 
 std::vector<group_action> server_group::submit(const work_item &Item,
@@ -74,6 +96,10 @@
     refuse(Item, refusal_reason::NoServer, Now, Actions);
     return Actions;
   }
+  if (allHeldUntil(Now)) {
+    refuse(Item, refusal_reason::ServerShed, Now, Actions);
+    return Actions;
+  }
   // An attempt after those of other groups is charged as a retry.
   if (Item.AttemptsBefore > 0 &&
       !Budget.tryWithdraw(retriesReservedFrom(Item))) {
@@ -140,6 +166,7 @@
   if (HandedOver || Now >= LeaseEnd)
     return;
   expireQueue(Now, Actions);
+  refuseIfAllHeld(Now, Actions);
   if (Settings.QueryServerLoad) {
     dispatchBySpeed(Now, Actions);
     return;
@@ -267,8 +294,8 @@
       isRetryAllowed(Next.MayHaveRun ? verdict::MayHaveRun : verdict::NotRun,
                      Item.Idempotent);
   const bool HasTime = Now + fromMicros(TypicalMicros) < Item.Deadline;
-  const bool Allowed =
-      !HandedOver && Now < LeaseEnd && Repeatable && HasTime && IsBelowBound;
+  const bool Allowed = !HandedOver && Now < LeaseEnd && Repeatable && HasTime &&
+                       IsBelowBound && !allHeldUntil(Now);
   if (Allowed && Queue.size() < Queue.capacity() &&
       Budget.tryWithdraw(retriesReservedFrom(Item))) {
     ++Counters.Retries;
--- a/src/core/server_group_servers.cpp
+++ b/src/core/server_group_servers.cpp
@@ -67,6 +67,8 @@
 void server_group::addServer(const backend_server &Server, time_point Now) {
   server_state Fresh(Server, slot_limit::create(limitSettings(Server)));
   Fresh.ColdUntil = Now + Server.ColdLeft;
+  if (Holds)
+    Fresh.HeldUntil = Holds->heldUntil(Server.Name, Server.Start);
   for (server_state &State : Servers) {
     if (!State.Gone || occupied(State, Now) > 0)
       continue;
@@ -136,7 +138,32 @@
 
 bool server_group::isClosed(const server_state &State, time_point Now) const {
   return State.Gone || State.Server.Leaving || !IsZoneActive ||
-         Now < State.DrainingUntil;
+         Now < State.DrainingUntil || Now < State.HeldUntil;
+}
+
+void server_group::hold(std::string_view Server, std::uint64_t Start,
+                        time_point Until) {
+  for (server_state &State : Servers) {
+    if (State.Server.Name != Server || State.Server.Start != Start ||
+        Until <= State.HeldUntil)
+      continue;
+    State.HeldUntil = Until;
+    // It begins again with one request at a time, so that what has waited for
+    // the end of the hold does not overload it at once.
+    State.Limit.resetToCold();
+  }
+}
+
+std::optional<time_point> server_group::allHeldUntil(time_point Now) const {
+  std::optional<time_point> Earliest;
+  for (const server_state &State : Servers) {
+    if (State.Gone || State.Server.Leaving)
+      continue;
+    if (Now >= State.HeldUntil)
+      return std::nullopt;
+    Earliest = std::min(Earliest.value_or(State.HeldUntil), State.HeldUntil);
+  }
+  return Earliest;
 }
 
 double server_group::coldRate(const server_state &State, time_point Now) const {
@@ -248,11 +275,12 @@
                                 time_point Now) {
   const bool IsFullShed = Outcome == attempt_outcome::Shed &&
                           !shedWithFreeSlot(State, Outcome, Now);
-  const bool IsInconclusive = IsFullShed ||
-                              Outcome == attempt_outcome::NotSent ||
-                              Outcome == attempt_outcome::Cancelled ||
-                              Outcome == attempt_outcome::Draining ||
-                              Outcome == attempt_outcome::BodyIncomplete;
+  const bool IsInconclusive =
+      IsFullShed || Outcome == attempt_outcome::NotSent ||
+      Outcome == attempt_outcome::Cancelled ||
+      Outcome == attempt_outcome::Draining ||
+      Outcome == attempt_outcome::BodyIncomplete ||
+      (Outcome == attempt_outcome::Shed && Now < State.HeldUntil);
   if (IsInconclusive)
     return;
   State.Health.onResult(Outcome != attempt_outcome::Answered, Now);
@@ -275,7 +303,8 @@
     State.Limit.onErrorAnswer(Now);
     return;
   case attempt_outcome::Shed:
-    if (shedWithFreeSlot(State, Outcome, Now))
+    // A hold takes the place of a lower limit and of an ejection.
+    if (Now < State.HeldUntil || shedWithFreeSlot(State, Outcome, Now))
       return;
     State.Limit.onShed(Now);
     ++Counters.LimitCuts;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -272,6 +272,8 @@
                    static_cast<double>(Host->inProgress()));
   Metrics.setGauge("agatedale_server_connections_made", {},
                    static_cast<double>(Host->connectionsOpened()));
+  Metrics.setGauge("agatedale_server_holds_made", {},
+                   static_cast<double>(Host->holdsMade()));
   Metrics.setGauge("agatedale_ready", {}, isReady() ? 1 : 0);
 }
 
--- a/src/gateway/group_host.cpp
+++ b/src/gateway/group_host.cpp
@@ -59,6 +59,7 @@
   }
   auto Hosted = std::make_unique<hosted_group>(moveValue(std::move(Group)));
   Hosted->Group.setLeaseEnd(time_point::max());
+  Hosted->Group.setHolds(Holds);
   hosted_group *Created = Hosted.get();
   Groups.emplace(Id, std::move(Hosted));
   configureGroup(Id, *Created);
@@ -154,7 +155,7 @@
                                ? std::string()
                                : Service->second.LoadPath;
   Pool.probeLoad(Order, Path, [this, Id, Order](call_result Result) {
-    reportLeaving(Id, Order.Server, Order.ServerStart, Result);
+    applyNotices(Id, Order.Server, Order.ServerStart, Result);
     const bool HasReport =
         Result.Outcome == attempt_outcome::Answered && Result.Report;
     executeActions(Id, Groups.at(Id)->Group.onLoadQueryResult(
@@ -163,10 +164,32 @@
   });
 }
 
-void group_host::reportLeaving(const group_id &Id, const std::string &Server,
-                               std::uint64_t Start, const call_result &Result) {
+void group_host::applyNotices(const group_id &Id, const std::string &Server,
+                              std::uint64_t Start, const call_result &Result) {
   if (Result.SaidLeaving && OnLeaving)
     OnLeaving({Server, Start, Id.Service, Id.Zone});
+  if (Result.RetryAfter)
+    holdServer(Id, Server, Start, *Result.RetryAfter);
+}
+
+void group_host::holdServer(const group_id &Id, const std::string &Server,
+                            std::uint64_t Start, duration Asked) {
+  const time_point Now = bootNow();
+  const time_point Before = Holds.heldUntil(Server, Start);
+  const time_point Until = Holds.record(Server, Start, Asked, Now);
+  // Also in a group that the server has moved to since it was sent the request.
+  for (const auto &[OtherId, Hosted] : Groups)
+    Hosted->Group.hold(Server, Start, Until);
+  ++HoldsMade;
+  const bool IsGroupHeld = Groups.at(Id)->Group.allHeldUntil(Now).has_value();
+  logLine(
+      log_level::Info, "server-held",
+      {{"server", Server},
+       {"group", toText(Id)},
+       {"asked_ms", toMillis(Asked)},
+       {"held_ms", toMillis(Until - Now)},
+       {"left_before_ms", toMillis(std::max(Before - Now, duration::zero()))},
+       {"whole_group", IsGroupHeld}});
 }
 
 void group_host::onResult(const group_id &Id, const send_action &Order,
@@ -174,7 +197,7 @@
   hosted_group &Hosted = *Groups.at(Id);
   const attempt_id Attempt = Order.Attempt;
   Hosted.Calls.erase(Attempt);
-  reportLeaving(Id, Order.Server, Order.ServerStart, Result);
+  applyNotices(Id, Order.Server, Order.ServerStart, Result);
   const attempt_outcome Outcome = Result.Outcome;
   const std::optional<server_report> Report = Result.Report;
   Hosted.Responses[Attempt] = std::move(Result);
--- a/src/gateway/group_host.h
+++ b/src/gateway/group_host.h
@@ -54,6 +54,8 @@
   /// Returns the number of requests that are queued or sent.
   std::size_t inProgress() const { return Requests.size(); }
   std::uint64_t connectionsOpened() const { return Pool.connectionsOpened(); }
+  /// Returns how often a server asked for a time without requests.
+  std::uint64_t holdsMade() const { return HoldsMade; }
 
 private:
   struct hosted_group {
@@ -76,8 +78,10 @@
   void executeActions(const group_id &Id,
                       const std::vector<group_action> &Actions);
   void send(const group_id &Id, const send_action &Order);
-  void reportLeaving(const group_id &Id, const std::string &Server,
-                     std::uint64_t Start, const call_result &Result);
+  void applyNotices(const group_id &Id, const std::string &Server,
+                    std::uint64_t Start, const call_result &Result);
+  void holdServer(const group_id &Id, const std::string &Server,
+                  std::uint64_t Start, duration Asked);
   void probeLoad(const group_id &Id, const load_query_action &Order);
   void onResult(const group_id &Id, const send_action &Order,
                 call_result Result);
@@ -89,6 +93,8 @@
   event_loop &Loop;
   gateway_settings Settings;
   server_pool Pool;
+  server_holds Holds;
+  std::uint64_t HoldsMade = 0;
   std::function<void(const leaving_server &)> OnLeaving;
   std::shared_ptr<const fleet_snapshot> Snapshot;
   std::map<group_id, std::unique_ptr<hosted_group>> Groups;
--- a/src/gateway/server_pool.cpp
+++ b/src/gateway/server_pool.cpp
@@ -67,6 +67,7 @@
   bool isTooLarge();
   void onMismatchedAnswer();
   void beginDecoding();
+  void onResponseHead(int Status, const header_list &Headers);
   void onResponse();
   void finishCall(call_result Result);
 
@@ -79,7 +80,8 @@
   /// Set after a response that does not match the request, or a failed call.
   bool Tainted = false;
   bool NotReusable = false;
-  bool SaidLeaving = false; ///< In a response to the current call.
+  bool SaidLeaving = false;           ///< In a response to the current call.
+  std::optional<duration> RetryAfter; ///< As SaidLeaving.
   int MismatchedAnswers = 0;
   body_reservation Share; ///< Of the body that is being received.
   std::uint64_t BytesSentBefore = 0;
@@ -135,6 +137,7 @@
 void server_connection::startCall(const std::shared_ptr<server_call> &Next) {
   Call = Next;
   SaidLeaving = false;
+  RetryAfter.reset();
   beginDecoding();
   Share = body_reservation(Pool.Bodies);
   BytesSentBefore = Stream->bytesSent();
@@ -208,10 +211,21 @@
   Decoder =
       std::make_unique<response_decoder>(ResponseLimits, Call->IsHeadRequest);
   Decoder->setHeadHandler([this](int Status, const header_list &Headers) {
-    SaidLeaving |= platform::saysLeaving(Status, Headers);
+    onResponseHead(Status, Headers);
   });
 }
 
+void server_connection::onResponseHead(int Status, const header_list &Headers) {
+  SaidLeaving |= platform::saysLeaving(Status, Headers);
+  const platform::retry_after Asked =
+      platform::readRetryAfter(Status, Headers, Call->RequestId);
+  if (Asked.Time)
+    RetryAfter = Asked.Time;
+  if (!Asked.Unreadable.empty())
+    logLine(log_level::Warning, "retry-after-unreadable",
+            {{"server", Call->Order.Server}, {"value", Asked.Unreadable}});
+}
+
 void server_connection::onResponse() {
   NotReusable = !Decoder->keepsAlive();
   if (const auto AnnouncedTimeout = Decoder->idleTimeout())
@@ -263,6 +277,7 @@
   Pool.Loop.cancel(FinishedCall->Timer);
   FinishedCall->Connection = nullptr;
   Result.SaidLeaving = SaidLeaving;
+  Result.RetryAfter = RetryAfter;
   const bool MayReuse = !Tainted && !NotReusable && Buffer.empty() &&
                         !Stream->hasUnsent() && !Stream->isClosed();
   Decoder.reset();
--- a/src/gateway/server_pool.h
+++ b/src/gateway/server_pool.h
@@ -23,6 +23,8 @@
   http_response_message Response; ///< Empty unless a response was received.
   std::optional<server_report> Report;
   bool SaidLeaving = false; ///< In any response, also one that broke off.
+  /// The time without requests that a refusal asked for.
+  std::optional<duration> RetryAfter;
 };
 
 class server_connection;
