--- a/tests/unit/server_holds_test.cpp
+++ b/tests/unit/server_holds_test.cpp
@@ -165,10 +165,8 @@
 // stated time the hold takes that place, and nothing outlasts it.
 BOOST_AUTO_TEST_CASE(HeldServerIsNeitherEjectedNorPaused) {
   server_group Group = group(1);
-  for (int Round = 0; Round < 6; ++Round) {
-    const time_point Now = Start + seconds(Round);
-    turnAway(Group, static_cast<request_id>(Round + 1), milliseconds(900), Now);
-  }
+  for (request_id Id = 1; Id <= 6; ++Id)
+    turnAway(Group, Id, milliseconds(900), Start + seconds(Id - 1));
   const time_point After = Start + milliseconds(5950);
   BOOST_TEST(only<send_action>(Group.submit(item(99, After), After)).size() ==
              1U);
