--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -268,6 +268,8 @@
       RestoredServers.update(Mirror.position(store_table::Servers).Era, Rows,
                              ServerRows.values(), bootNow());
   retainExpiredServers(Servers);
+  for (auto &[Name, Server] : Servers)
+    Server.Leaving |= Leaving.isLeaving(Name, Server.Start);
   LastServers = Servers;
   std::vector<backend_server> List;
   List.reserve(Servers.size());
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "agatedale/gateway_settings.h"
+#include "agatedale/leaving_servers.h"
 #include "agatedale/outage_grace_period.h"
 #include "agatedale/restored_store.h"
 #include "agatedale/store_follower.h"
@@ -36,9 +37,11 @@
     std::function<void()> OnStoreAnswered; ///< A read of the store succeeded.
   };
 
+  /// Servers in \p Leaving count as leaving, whatever their rows say.
   fleet_state(const gateway_settings &Settings, vm_directory &Vms,
-              store_worker &Worker, handlers Handlers)
-      : Settings(Settings), Vms(Vms), Worker(Worker),
+              store_worker &Worker, const leaving_servers &Leaving,
+              handlers Handlers)
+      : Settings(Settings), Vms(Vms), Worker(Worker), Leaving(Leaving),
         Handlers(std::move(Handlers)), Follower({}), RestoredVms(Settings.Vm) {}
 
   /// Delays the first read of the store.
@@ -59,6 +62,9 @@
   /// is not older than that of the peers, and every table has been read.
   bool isServing();
 
+  /// Applies servers that were added to those that leave.
+  void onServersLeaving() { rebuild(); }
+
   /// Returns the replica from which peers are updated.
   const store_mirror &mirror() const { return Mirror; }
 
@@ -95,6 +101,7 @@
   gateway_settings Settings;
   vm_directory &Vms;
   store_worker &Worker;
+  const leaving_servers &Leaving;
   handlers Handlers;
   store_mirror Mirror;
   std::vector<entry_vm> ZoneVms; ///< Known before the first snapshot.
--- a/src/gateway/server_pool.cpp
+++ b/src/gateway/server_pool.cpp
@@ -69,6 +69,8 @@
   void failCall(attempt_outcome Outcome);
   bool isTooLarge();
   void onMismatchedAnswer();
+  void beginDecoding();
+  void onResponseHead(int Status, const header_list &Headers);
   void onResponse();
   void recordRefusal();
   void finishCall(call_result Result);
@@ -82,6 +84,8 @@
   /// Set after a response that does not match the request, or a failed call.
   bool Tainted = false;
   bool NotReusable = false;
+  bool SaidLeaving = false;           ///< In a response to the current call.
+  std::optional<duration> RetryAfter; ///< As SaidLeaving.
   int MismatchedAnswers = 0;
   int CallsStarted = 0;
   /// The requests that were refused on this connection, with their deadlines.
@@ -140,8 +144,9 @@
 void server_connection::startCall(const std::shared_ptr<server_call> &Next) {
   Call = Next;
   ++CallsStarted;
-  Decoder =
-      std::make_unique<response_decoder>(ResponseLimits, Call->IsHeadRequest);
+  SaidLeaving = false;
+  RetryAfter.reset();
+  beginDecoding();
   Share = body_reservation(Pool.Bodies);
   BytesSentBefore = Stream->bytesSent();
   const std::weak_ptr<server_connection> Weak = weak_from_this();
@@ -207,8 +212,26 @@
     failCall(attempt_outcome::ConnectionLost);
     return;
   }
+  beginDecoding();
+}
+
+void server_connection::beginDecoding() {
   Decoder =
       std::make_unique<response_decoder>(ResponseLimits, Call->IsHeadRequest);
+  Decoder->setHeadHandler([this](int Status, const header_list &Headers) {
+    onResponseHead(Status, Headers);
+  });
+}
+
+void server_connection::onResponseHead(int Status, const header_list &Headers) {
+  SaidLeaving |= platform::saysLeaving(Status, Headers);
+  const platform::retry_after Asked =
+      platform::readRetryAfter(Status, Headers, Call->RequestId);
+  if (Asked.Time)
+    RetryAfter = Asked.Time;
+  if (!Asked.Unreadable.empty())
+    logLine(log_level::Warning, "retry-after-unreadable",
+            {{"server", Call->Order.Server}, {"value", Asked.Unreadable}});
 }
 
 void server_connection::onResponse() {
@@ -272,6 +295,8 @@
   Call = nullptr;
   Pool.Loop.cancel(FinishedCall->Timer);
   FinishedCall->Connection = nullptr;
+  Result.SaidLeaving = SaidLeaving;
+  Result.RetryAfter = RetryAfter;
   const bool MayReuse = !Tainted && !NotReusable && Buffer.empty() &&
                         !Stream->hasUnsent() && !Stream->isClosed();
   Decoder.reset();
