A slow reader of a closing response is waited for while its system takes bytes

Callers that read slowly got a truncated response with an orderly end of the connection: 4,253,184 of 25,165,824 bytes at 64 KiB every 100 ms. In a stop every last response of a connection closes.

Cause: the linger timer took bytes that the own system accepted for progress. A full send buffer accepts none for longer than the linger time. Now the bytes that the caller's system has not confirmed must become fewer. Found by review.

An unused copy of connection_end goes as well.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -241,15 +241,17 @@
 void caller_connection::armLingerTimer() {
   Loop.cancel(Timer);
   const std::weak_ptr<caller_connection> Weak = weak_from_this();
-  Timer = Loop.after(LingerTime, [Weak, Sent = Stream->bytesSent()] {
+  Timer = Loop.after(LingerTime, [Weak, Left = Stream->undeliveredBytes()] {
     if (const auto Self = Weak.lock())
-      Self->onLingerTimeout(Sent);
+      Self->onLingerTimeout(Left);
   });
 }
 
-/// Waits on while the caller reads a long response.
-void caller_connection::onLingerTimeout(std::uint64_t SentBefore) {
-  if (Stream->hasUnsent() && Stream->bytesSent() > SentBefore)
+/// Waits on while the caller reads a long response. The bytes that its system
+/// has confirmed tell so: a full send buffer accepts none for a while.
+void caller_connection::onLingerTimeout(std::size_t LeftBefore) {
+  const std::size_t Left = Stream->undeliveredBytes();
+  if (Left > 0 && Left < LeftBefore)
     armLingerTimer();
   else
     end(connection_end::ByGateway);
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -37,9 +37,6 @@
 private:
   friend class caller_connection;
 
-  /// Which side ended a connection.
-  enum class connection_end { ByCaller, ByGateway };
-
   std::weak_ptr<caller_connection> Connection;
   body_reservation Share; ///< The body's share of the body budget.
   bool IsHeadRequest = false;
@@ -113,7 +110,7 @@
   void onTimeout();
   void armTimer();
   void armLingerTimer();
-  void onLingerTimeout(std::uint64_t SentBefore);
+  void onLingerTimeout(std::size_t LeftBefore);
   void end(connection_end By);
   bool awaitsFirstRequest() const;
   void decodeAll();
--- a/src/gateway/tcp_stream.cpp
+++ b/src/gateway/tcp_stream.cpp
@@ -170,13 +170,13 @@
     runGuarded([this] { onReadable(); });
 }
 
-bool tcp_stream::hasUndelivered() const {
+std::size_t tcp_stream::undeliveredBytes() const {
   if (Closed)
-    return false;
+    return 0;
   int Unconfirmed = 0;
   if (::ioctl(Socket.impl()->sockfd(), TIOCOUTQ, &Unconfirmed) != 0)
     Unconfirmed = 0;
-  return hasUnsent() || Unconfirmed > 0;
+  return unsentBytes() + static_cast<std::size_t>(std::max(Unconfirmed, 0));
 }
 
 std::size_t tcp_stream::unreadBytes() const {
--- a/src/gateway/tcp_stream.h
+++ b/src/gateway/tcp_stream.h
@@ -66,7 +66,10 @@
   std::size_t unsentBytes() const { return Unsent.size() - UnsentOffset; }
 
   /// Returns true if the peer's system has not confirmed all data.
-  bool hasUndelivered() const;
+  bool hasUndelivered() const { return undeliveredBytes() > 0; }
+
+  /// Returns the number of bytes that the peer's system has not confirmed.
+  std::size_t undeliveredBytes() const;
 
   /// Returns the number of received bytes that wait in the socket.
   std::size_t unreadBytes() const;
