A stop that answers everything refuses new work first

By reading (review): requests of callers that are read within the two turns of the loop before everything is answered, and requests that a peer forwards from then on, were sent to a server and answered with 504 a moment later, with the server at work. Both are refused as not run now when the phase begins; a peer goes on to the next owner.

--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -580,6 +580,8 @@
 }
 
 void gateway_node::impl::checkStop() {
+  // First, so that an exception below ends this turn and not the stop.
+  const auto Next = Loop->after(TickInterval, [this] { checkStop(); });
   if (Stop->phase() != stop_phase::Draining)
     CallerListener->closeIdle();
   if (Stop->advance(remainingWork(), bootNow()))
@@ -589,13 +591,15 @@
     // before it runs what was posted, and they may post as well.
     Loop->post([this] { Loop->post([this] { answerAll(); }); });
   }
-  if (Stop->phase() != stop_phase::Ended)
-    Loop->after(TickInterval, [this] { checkStop(); });
+  if (Stop->phase() == stop_phase::Ended)
+    Loop->cancel(Next);
 }
 
 void gateway_node::impl::enter(stop_phase Phase) {
   if (Phase == stop_phase::Closing)
     CallerListener->stopAccepting();
+  else if (Phase == stop_phase::Answering)
+    Router->refuseLater();
   else if (Phase == stop_phase::Ended)
     endLoop();
 }
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -408,6 +408,13 @@
     const std::function<void(wire_gateway::Forwarded)> &Done) {
   const forward_ticket Ticket = ++LastPeerTicket;
   const time_point Now = bootNow();
+  if (IsEnding) {
+    // The peer tries the next owner.
+    forward_response Refused;
+    Refused.Reason = refusal_reason::NotOwner;
+    Done(toMessage(Refused));
+    return Ticket;
+  }
   result<forward_request> Read = fromMessage(Message, Now);
   if (const error *Error = errorOf(Read)) {
     logLine(log_level::Error, "peer-message-refused",
--- a/src/gateway/request_router.h
+++ b/src/gateway/request_router.h
@@ -62,6 +62,9 @@
                const std::function<void(wire_gateway::Forwarded)> &Done);
   void cancelForPeer(forward_ticket Ticket);
 
+  /// Refuses later requests of callers and of peers as not run.
+  void refuseLater() { IsEnding = true; }
+
   /// Answers every request that is in progress, of callers and of peers,
   /// because the process ends: as not run only if no server was sent it. Later
   /// requests are refused.
