--- a/tests/unit/platform_client_test.cpp
+++ b/tests/unit/platform_client_test.cpp
@@ -5,6 +5,8 @@
 #include <Poco/Net/ServerSocket.h>
 #include <boost/test/unit_test.hpp>
 
+#include <fmt/format.h>
+
 #include <array>
 #include <functional>
 #include <string>
@@ -85,7 +87,7 @@
         std::string("{}"),
         std::string(R"({"name":"vm-2","ip":"10.0.0.2","zone":"a"})"),
         std::string(R"({"name":"vm-2","ip":7,"zone":"a","state":"active"})")})
-    callAnsweredWith(answerWith("[" + Odd + "," + Good + "]"),
+    callAnsweredWith(answerWith(fmt::format("[{},{}]", Odd, Good)),
                      [&Odd](platform_client &Client) {
                        const auto Vms = Client.listVms();
                        BOOST_REQUIRE_MESSAGE(!errorOf(Vms), Odd);
