Replies to peers are delivered before a stop ends their connections

Peers of an owner that ended got no reply to large responses that the owner had sent: found by review, a reply of 400 KB to 2 MB was lost when a heartbeat of the peer was unread at the end, as the system then resets the connection and drops what the peer's system has not received.

Cause: the end waited for bytes in the process only, and ended without a turn of the loop when there were none. Requests of peers that had arrived were cut without a word, so that the peer had to take them for possibly run. Now what has arrived is read and refused as not run, and the end waits, within its bound, for the peers' systems to confirm every byte.

--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -55,7 +55,7 @@
 constexpr duration CleanupInterval = std::chrono::seconds(1);
 
 /// Time that replies to peers get to leave during shutdown.
-constexpr duration PeerShutdownGrace = std::chrono::milliseconds(100);
+constexpr duration PeerShutdownGrace = std::chrono::milliseconds(200);
 constexpr duration PeerShutdownPoll = std::chrono::milliseconds(5);
 
 constexpr double BytesPerMegabit = 1e6 / 8;
@@ -285,13 +285,17 @@
 void gateway_node::impl::stopPeers() {
   PeersStopping = true;
   Transport->stop();
-  stopLoopWhenRepliesSent(bootNow() + PeerShutdownGrace);
+  Loop->post([this, Until = bootNow() + PeerShutdownGrace] {
+    stopLoopWhenRepliesSent(Until);
+  });
   Loop->run();
   Transport.reset();
 }
 
 void gateway_node::impl::stopLoopWhenRepliesSent(time_point Until) {
-  if (bootNow() >= Until || Transport->hasSentAllReplies())
+  // Requests that have arrived are refused as not run.
+  Transport->readAll();
+  if (bootNow() >= Until || Transport->hasDeliveredAllReplies())
     Loop->stop();
   else
     Loop->after(PeerShutdownPoll,
--- a/src/gateway/peer_connection.h
+++ b/src/gateway/peer_connection.h
@@ -53,7 +53,13 @@
   void close();
   bool isConnected() const { return Stream->isConnected() && !isClosed(); }
   bool isClosed() const { return Stream->isClosed(); }
-  bool hasUnsent() const { return !Large.empty() || Stream->hasUnsent(); }
+  /// Returns true if the peer's system has not confirmed all bytes.
+  bool hasUndelivered() const {
+    return !Large.empty() || Stream->hasUndelivered();
+  }
+
+  /// Handles what has arrived.
+  void readNow() { Stream->readNow(); }
   time_point lastReceivedAt() const { return LastReceivedAt; }
 
 private:
--- a/src/gateway/peer_transport.cpp
+++ b/src/gateway/peer_transport.cpp
@@ -424,10 +424,16 @@
     endCall(Call);
 }
 
-bool peer_transport::hasSentAllReplies() const {
+void peer_transport::readAll() {
+  const auto Connections = Accepted;
+  for (const incoming_peer_ptr &From : Connections)
+    From->Connection->readNow();
+}
+
+bool peer_transport::hasDeliveredAllReplies() const {
   return std::none_of(Accepted.begin(), Accepted.end(),
                       [](const incoming_peer_ptr &From) {
-                        return From->Connection->hasUnsent();
+                        return From->Connection->hasUndelivered();
                       });
 }
 
--- a/src/gateway/peer_transport.h
+++ b/src/gateway/peer_transport.h
@@ -93,8 +93,12 @@
   /// others.
   void stop();
 
-  /// Returns true if no reply to a peer waits for its connection.
-  bool hasSentAllReplies() const;
+  /// Handles what peers have sent so far.
+  void readAll();
+
+  /// Returns true if the peers' systems have received all replies, so that the
+  /// end of the connections cannot take them back.
+  bool hasDeliveredAllReplies() const;
 
 private:
   struct peer;
--- a/tests/unit/peer_transport_test.cpp
+++ b/tests/unit/peer_transport_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <functional>
+#include <future>
 #include <optional>
 #include <string>
 #include <thread>
@@ -483,6 +484,63 @@
   BOOST_TEST(Test.Requests == 0);
 }
 
+// An unread message turns the end of a connection into a reset, which takes
+// back what the peer's system has not received yet.
+BOOST_AUTO_TEST_CASE(RepliesAreDeliveredThoughAPeersMessageIsUnread) {
+  constexpr std::size_t ReplyBytes = 2 << 20;
+  const std::uint16_t Port = nextPort();
+  auto OwnerLoop = moveValue(event_loop::create());
+  auto CallerLoop = moveValue(event_loop::create());
+  std::promise<transport_pair::reply> Arrived;
+  peer_transport::handlers Handlers;
+  Handlers.OnHeartbeat = [](const auto &Message) { return Message; };
+  Handlers.OnForward = [&Arrived](const auto &, auto Done) {
+    Arrived.set_value(std::move(Done));
+    return forward_ticket(1);
+  };
+  Handlers.OnCancel = [](forward_ticket) {};
+  auto Owner = moveValue(peer_transport::start(*OwnerLoop, "127.0.9.1", Port,
+                                               std::move(Handlers)));
+  auto Caller =
+      moveValue(peer_transport::start(*CallerLoop, "127.0.9.2", Port, {}));
+  std::promise<bool> IsAnswered;
+  Caller->forward(vmAt("127.0.9.1"), requestOf(1), TestTimeout,
+                  [&](const wire_gateway::Forwarded *Reply, peer_failure) {
+                    IsAnswered.set_value(Reply != nullptr);
+                  });
+  std::thread OwnerThread([&] { OwnerLoop->run(); });
+  std::thread CallerThread([&] { CallerLoop->run(); });
+  const auto Reply = Arrived.get_future().get();
+  CallerLoop->post([&] {
+    std::this_thread::sleep_for(milliseconds(200));
+    Caller->heartbeat(vmAt("127.0.9.1"), {}, TestTimeout, [](auto *) {});
+    std::this_thread::sleep_for(milliseconds(200));
+  });
+  OwnerLoop->post([&] {
+    wire_gateway::Forwarded Answer;
+    Answer.set_body(std::string(ReplyBytes, 'x'));
+    Reply(Answer);
+    std::this_thread::sleep_for(milliseconds(300));
+    Owner->stop();
+    OwnerLoop->stop();
+  });
+  OwnerThread.join();
+  const std::function<void()> StopWhenDelivered = [&] {
+    if (Owner->hasDeliveredAllReplies())
+      OwnerLoop->stop();
+    else
+      OwnerLoop->after(milliseconds(5), StopWhenDelivered);
+  };
+  if (!Owner->hasDeliveredAllReplies()) {
+    OwnerLoop->post(StopWhenDelivered);
+    OwnerLoop->run();
+  }
+  Owner.reset();
+  BOOST_TEST(IsAnswered.get_future().get());
+  CallerLoop->post([&] { CallerLoop->stop(); });
+  CallerThread.join();
+}
+
 BOOST_AUTO_TEST_CASE(BytesOfAnotherProtocolCloseTheConnection) {
   transport_pair Test;
   for (const std::string &Bytes :
