A VM that stops right after its start removes the row that it wrote

By review: 9 of 12 stops 0 to 600 ms after readiness were refused the removal, as the replica did not show the own row yet. The version of the own write is used while the replica is older. StopRightAfterTheStartRemovesTheRow passes without this change too, as the removal is repeated once the replica shows the row; it guards against both being lost.

--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -502,7 +502,11 @@
 
 /// Removes the own row, again if a restored copy of the store lists it.
 void gateway_node::impl::removeSelf() {
-  const store_version Version = FleetState->vmRowVersion(rowKey(Settings.Vm));
+  store_version Version = FleetState->vmRowVersion(rowKey(Settings.Vm));
+  // The replica may be older than the row.
+  if (RegisteredAt &&
+      FleetState->mirror().position(store_table::Vms) < *RegisteredAt)
+    Version = *RegisteredAt;
   if (RemovedVersion == Version)
     return;
   RemovedVersion = Version;
