Changes after a version of an earlier era are a gap

Found by review. The era of the version asked for decides now, in the replica and for the read.

Before: ChangesAfterAVersionOfAnEarlierEraAreAGap check (Result == store_mirror::apply_result::Gap) has failed

--- a/src/core/store_mirror.cpp
+++ b/src/core/store_mirror.cpp
@@ -65,7 +65,9 @@
   if (Update.Position.Era < Table.Position.Era)
     return apply_result::Unchanged;
   const bool IsReplaced = isReplacedBy(Table, Update);
-  if (!Update.IsSnapshot && (IsReplaced || Update.Since > Table.Position))
+  const bool CrossesEras = Update.Since.Era != Update.Position.Era;
+  if (!Update.IsSnapshot &&
+      (IsReplaced || CrossesEras || Update.Since > Table.Position))
     return apply_result::Gap;
   // The numbers of another era have no order with those of the update.
   if (IsReplaced)
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -152,10 +152,11 @@
     return error{error_kind::Unavailable,
                  fmt::format("answer of era {}, expected {} or later",
                              Update.Position.Era, Known.Era)};
-  if (!Update.IsSnapshot && Update.Position.Era > Known.Era)
+  // The replica may have reached the later era while the read was under way.
+  if (!Update.IsSnapshot && Update.Position.Era != Update.Since.Era)
     return error{error_kind::NotFound,
                  fmt::format("changes of era {} after a version of era {}",
-                             Update.Position.Era, Known.Era)};
+                             Update.Position.Era, Update.Since.Era)};
   return std::nullopt;
 }
 
--- a/tests/unit/store_following_test.cpp
+++ b/tests/unit/store_following_test.cpp
@@ -138,6 +138,18 @@
   BOOST_TEST(!Mirror.updateSince(store_table::Servers, {1, 4}).IsSnapshot);
 }
 
+// A read that began in the earlier era can be answered after a peer's snapshot
+// of the later one.
+BOOST_AUTO_TEST_CASE(ChangesAfterAVersionOfAnEarlierEraAreAGap) {
+  store_mirror Mirror = readMirror();
+  Mirror.apply(
+      snapshotOf(store_table::Servers, {1, 4}, {{"a", "new", {1, 4}, false}}));
+  const auto Result =
+      Mirror.apply(updateFrom(10, {1, 12}, {{"b", "1", {1, 12}, false}}));
+  BOOST_TEST((Result == store_mirror::apply_result::Gap));
+  BOOST_TEST((Mirror.position(store_table::Servers) == store_version(1, 4)));
+}
+
 BOOST_AUTO_TEST_CASE(RemovalOfAnEarlierEraDoesNotHideARow) {
   store_mirror Mirror = readMirror();
   Mirror.apply(updateFrom(10, 12, {{"a", "", 12, true}}));
