A peer of a later era is sent no rows of the earlier one

Found by review: each VM still in the former era sent whole tables to hubs that were ahead, which ignored them.

Before: PeerOfALaterEraIsSentNoRows check Reply.news_size() + Reply.packed_size() == 0 has failed [3 + 0 != 0]

--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/store_relay.cpp
@@ -98,6 +98,9 @@
   bool HasSnapshot = false;
   std::size_t Bytes = 0;
   for (const store_table Table : AllStoreTables) {
+    // A peer of a later era would ignore the rows.
+    if (Positions.of(Table, Mirror).Era > Mirror.position(Table).Era)
+      continue;
     Pacer.recordPosition(Peer, Table, Positions.of(Table, Mirror));
     if (!Pacer.maySend(Peer, Table, Now))
       continue;
--- a/tests/unit/store_relay_test.cpp
+++ b/tests/unit/store_relay_test.cpp
@@ -214,6 +214,17 @@
   BOOST_TEST(Peer.rows(store_table::Operators).at("a").Value == "restored");
 }
 
+BOOST_AUTO_TEST_CASE(PeerOfALaterEraIsSentNoRows) {
+  store_relay Relay = makeRelay();
+  Heartbeat Message = heartbeatAt(4);
+  for (std::size_t I = 0; I < AllStoreTables.size(); ++I)
+    Message.add_eras(1);
+  Relay.readUpdates(Message, Start, [](const table_update &) {});
+  Heartbeat Reply;
+  Relay.addUpdates(Reply, "peer", readMirror(), Start);
+  BOOST_TEST(Reply.news_size() + Reply.packed_size() == 0);
+}
+
 // A VM of an older version reports numbers without eras.
 BOOST_AUTO_TEST_CASE(PeerThatReportsNoErasIsSentNoSnapshotWithEachHeartbeat) {
   store_relay Relay = makeRelay();
