An empty table of a later era reaches peers

Found by review: replacing an empty table by an empty one did not count as a change, so the relay sent a list of changes that it had encoded for the former era, which a peer takes for a gap.

Before: EmptyTableOfALaterEraReachesAPeer check Peer.position(store_table::Servers).Era == 1U has failed [0 != 1]

--- a/src/core/store_mirror.cpp
+++ b/src/core/store_mirror.cpp
@@ -70,8 +70,10 @@
       (IsReplaced || CrossesEras || Update.Since > Table.Position))
     return apply_result::Gap;
   // The numbers of another era have no order with those of the update.
-  if (IsReplaced)
+  if (IsReplaced) {
     Table.Tombstones.clear();
+    ++Table.Revision;
+  }
   bool Changed = IsReplaced;
   for (const stored_row &Row : Update.Rows)
     Changed = applyRow(Table, Row) || Changed;
--- a/tests/unit/store_relay_test.cpp
+++ b/tests/unit/store_relay_test.cpp
@@ -225,6 +225,28 @@
   BOOST_TEST(Reply.news_size() + Reply.packed_size() == 0);
 }
 
+BOOST_AUTO_TEST_CASE(EmptyTableOfALaterEraReachesAPeer) {
+  store_mirror Mirror;
+  store_mirror Peer;
+  for (const store_table Table : AllStoreTables) {
+    Mirror.apply({Table, 0, 10, true, Start, {}});
+    Peer.apply({Table, 0, 10, true, Start, {}});
+  }
+  store_relay Relay = makeRelay();
+  Heartbeat Message = heartbeatAt(10);
+  for (std::size_t I = 0; I < AllStoreTables.size(); ++I)
+    Message.add_eras(0);
+  Relay.readUpdates(Message, Start, [](const table_update &) {});
+  Heartbeat Before;
+  Relay.addUpdates(Before, "peer", Mirror, Start);
+  for (const store_table Table : AllStoreTables)
+    Mirror.apply({Table, 0, {1, 4}, true, Start, {}});
+  Heartbeat Reply;
+  Relay.addUpdates(Reply, "peer", Mirror, Start + milliseconds(300));
+  applyAll(Reply, Peer);
+  BOOST_TEST(Peer.position(store_table::Servers).Era == 1U);
+}
+
 // A VM of an older version reports numbers without eras.
 BOOST_AUTO_TEST_CASE(PeerThatReportsNoErasIsSentNoSnapshotWithEachHeartbeat) {
   store_relay Relay = makeRelay();
