--- a/include/agatedale/restored_store.h
+++ b/include/agatedale/restored_store.h
@@ -16,6 +16,8 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace agatedale {
@@ -35,6 +37,16 @@
   std::optional<std::uint64_t> Last;
 };
 
+/// What a restored store shows of one row and is not followed for a while.
+struct restored_row_correction {
+  std::string_view What; ///< Zone, server or VM.
+  std::string Name;
+  std::string_view Why;
+  duration AtMost{};
+};
+
+using restored_row_corrections = std::vector<restored_row_correction>;
+
 /// Keeps zones drained whose rows the restored copy lacks, until operators have
 /// written them again. Once the restored store has listed a zone, its row alone
 /// decides.
@@ -55,8 +67,14 @@
     return !Held.empty() && Now >= HeldUntil;
   }
 
+  /// Returns the corrections since the last call.
+  restored_row_corrections takeCorrections() {
+    return std::exchange(Corrections, {});
+  }
+
 private:
   era_watch Watch;
+  restored_row_corrections Corrections;
   std::set<std::string> Drained; ///< As returned last.
   std::set<std::string> Held;
   time_point HeldUntil{};
@@ -96,6 +114,11 @@
            (!Suspects.empty() && Now >= SuspectsUntil);
   }
 
+  /// Returns the corrections since the last call.
+  restored_row_corrections takeCorrections() {
+    return std::exchange(Corrections, {});
+  }
+
 private:
   /// A server that has begun to leave, or whose row was removed.
   struct departed_server {
@@ -118,6 +141,7 @@
   void forgetOldest(time_point Now);
 
   era_watch Watch;
+  restored_row_corrections Corrections;
   server_map Last; ///< As returned last.
   std::map<std::string, departed_server> Departed;
   std::map<std::string, suspect> Suspects;
@@ -148,9 +172,15 @@
     return !Held.empty() && Now >= HeldUntil;
   }
 
+  /// Returns the corrections since the last call.
+  restored_row_corrections takeCorrections() {
+    return std::exchange(Corrections, {});
+  }
+
 private:
   std::string Self;
   era_watch Watch;
+  restored_row_corrections Corrections;
   std::map<std::string, entry_vm> Last; ///< As returned last.
   std::map<std::string, entry_vm> Held;
   time_point HeldUntil{};
--- a/src/core/restored_store.cpp
+++ b/src/core/restored_store.cpp
@@ -2,25 +2,10 @@
 /// Differences between a restored copy and what was known before.
 #include "agatedale/restored_store.h"
 
-#include "log.h"
-
 #include <algorithm>
 
 namespace agatedale {
 
-namespace {
-
-void logHeld(std::string_view What, const std::string &Name,
-             std::string_view Why, duration Hold) {
-  logLine(log_level::Warning, "restored-row-corrected",
-          {{"what", What},
-           {"name", Name},
-           {"why", Why},
-           {"at_most_ms", toMillis(Hold)}});
-}
-
-} // namespace
-
 std::set<std::string>
 restored_zones::update(std::uint64_t Era, const std::set<std::string> &Listed,
                        time_point Now) {
@@ -29,7 +14,8 @@
     HeldUntil = Now + HoldTime;
     for (const std::string &Zone : Held) {
       if (!Listed.contains(Zone))
-        logHeld("zone", Zone, "drained before the restore", HoldTime);
+        Corrections.push_back(
+            {"zone", Zone, "drained before the restore", HoldTime});
     }
   }
   std::erase_if(Held, [&](const std::string &Zone) {
@@ -48,7 +34,8 @@
     if (Server.Leaving || Rows.contains(Name))
       continue;
     Missing.emplace(Name, Server);
-    logHeld("server", Name, "registered before the restore", MissingHold);
+    Corrections.push_back(
+        {"server", Name, "registered before the restore", MissingHold});
   }
   Suspects.clear();
   SuspectsUntil = Now + DepartedHold;
@@ -58,10 +45,11 @@
         Server.Leaving)
       continue;
     Suspects[Name] = {Rows.at(Name).Version, Known->second.IsRemoved};
-    logHeld("server", Name,
-            Known->second.IsRemoved ? "removed before the restore"
-                                    : "leaving before the restore",
-            DepartedHold);
+    Corrections.push_back({"server", Name,
+                           Known->second.IsRemoved
+                               ? "removed before the restore"
+                               : "leaving before the restore",
+                           DepartedHold});
   }
 }
 
@@ -144,7 +132,8 @@
   });
   for (const auto &[Name, Vm] : Held) {
     if (IsRestored)
-      logHeld("vm", Name, "registered before the restore", HoldTime);
+      Corrections.push_back(
+          {"vm", Name, "registered before the restore", HoldTime});
     Vms.insert_or_assign(Name, Vm);
   }
   Last = Vms;
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -21,6 +21,15 @@
 /// reader. A slow store answers within about 300 ms.
 constexpr duration ReadDelayLimit = std::chrono::milliseconds(400);
 
+void logCorrections(const restored_row_corrections &Corrections) {
+  for (const restored_row_correction &Correction : Corrections)
+    logLine(log_level::Warning, "restored-row-corrected",
+            {{"what", Correction.What},
+             {"name", Correction.Name},
+             {"why", Correction.Why},
+             {"at_most_ms", toMillis(Correction.AtMost)}});
+}
+
 } // namespace
 
 void fleet_state::checkStoreAge() {
@@ -201,8 +210,10 @@
   Listed.reserve(VmRows.values().size());
   for (const auto &[Key, Vm] : VmRows.values())
     Listed.push_back(Vm);
-  return RestoredVms.update(Mirror.position(store_table::Vms).Era, Listed,
-                            bootNow());
+  std::vector<entry_vm> Corrected = RestoredVms.update(
+      Mirror.position(store_table::Vms).Era, Listed, bootNow());
+  logCorrections(RestoredVms.takeCorrections());
+  return Corrected;
 }
 
 store_version fleet_state::vmRowVersion(const std::string &Key) const {
@@ -245,6 +256,7 @@
   const std::uint64_t Era = Mirror.position(store_table::Operators).Era;
   for (const std::string &Zone : RestoredZones.update(Era, Listed, bootNow()))
     Zones[Zone].Drained = true;
+  logCorrections(RestoredZones.takeCorrections());
   std::vector<availability_zone> List;
   List.reserve(Zones.size());
   for (const auto &[Name, Zone] : Zones)
@@ -268,6 +280,7 @@
   std::map<std::string, backend_server> Servers =
       RestoredServers.update(Mirror.position(store_table::Servers).Era, Rows,
                              ServerRows.values(), bootNow());
+  logCorrections(RestoredServers.takeCorrections());
   retainExpiredServers(Servers);
   for (auto &[Name, Server] : Servers)
     Server.Leaving |= Leaving.isLeaving(Name, Server.Start);
--- a/tests/unit/restored_store_test.cpp
+++ b/tests/unit/restored_store_test.cpp
@@ -240,4 +240,15 @@
   BOOST_TEST(CatchUp.isReached(4, Start + configuration_catch_up::MaxWait));
 }
 
+BOOST_AUTO_TEST_CASE(CorrectionIsReportedOnce) {
+  restored_zones Zones;
+  Zones.update(0, {"a"}, Start);
+  BOOST_TEST(Zones.takeCorrections().empty());
+  Zones.update(1, {}, Start);
+  const restored_row_corrections Corrections = Zones.takeCorrections();
+  BOOST_REQUIRE(Corrections.size() == 1U);
+  BOOST_TEST(Corrections.front().Name == "a");
+  BOOST_TEST(Zones.takeCorrections().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
