A copy with a former start of a server does not replace the newer one

Found by review. A restored copy that lists a former start of a server replaced the server as it is: its limits and what it runs were dropped, and its warm-up time began again, until it had written its row again. VMs were protected in the same way already, by their incarnation; servers were not.

The server as known before the restore is kept until its row changes in the new era, or the hold for departed servers ends.

--- a/include/agatedale/restored_store.h
+++ b/include/agatedale/restored_store.h
@@ -81,8 +81,8 @@
 };
 
 /// Corrects the list of backend servers after a restore. A row of the copy may
-/// show a server as ready that has since begun to leave or was removed, and the
-/// copy lacks servers that registered later.
+/// show a server as ready that has since begun to leave or was removed, or a
+/// former start of it, and the copy lacks servers that registered later.
 ///
 ///   server_map Servers = Restored.update(Era, Rows, Decoded, Now);
 class restored_servers {
@@ -111,7 +111,7 @@
   /// Returns true if a hold has ended since the last update.
   bool isOver(time_point Now) const {
     return (!Missing.empty() && Now >= MissingUntil) ||
-           (!Suspects.empty() && Now >= SuspectsUntil);
+           (Now >= SuspectsUntil && !(Suspects.empty() && Restarted.empty()));
   }
 
   /// Returns the corrections since the last call.
@@ -133,6 +133,12 @@
     bool IsRemoved = false;
   };
 
+  /// A server of which the restored copy lists a former start.
+  struct restarted_server {
+    store_version Version; ///< Of the row; a later one is the server's own.
+    backend_server Server; ///< As known before the restore.
+  };
+
   void onRestored(const std::map<std::string, stored_row> &Rows,
                   const server_map &Listed, time_point Now);
   void endHolds(const std::map<std::string, stored_row> &Rows,
@@ -145,7 +151,8 @@
   server_map Last; ///< As returned last.
   std::map<std::string, departed_server> Departed;
   std::map<std::string, suspect> Suspects;
-  time_point SuspectsUntil{};
+  std::map<std::string, restarted_server> Restarted;
+  time_point SuspectsUntil{}; ///< Also of Restarted.
   server_map Missing;
   time_point MissingUntil{};
 };
--- a/src/core/restored_store.cpp
+++ b/src/core/restored_store.cpp
@@ -38,8 +38,16 @@
         {"server", Name, "registered before the restore", MissingHold});
   }
   Suspects.clear();
+  Restarted.clear();
   SuspectsUntil = Now + DepartedHold;
   for (const auto &[Name, Server] : Listed) {
+    const auto Before = Last.find(Name);
+    if (Before != Last.end() && Before->second.Start > Server.Start) {
+      Restarted[Name] = {Rows.at(Name).Version, Before->second};
+      Corrections.push_back(
+          {"server", Name, "restarted before the restore", DepartedHold});
+      continue;
+    }
     const auto Known = Departed.find(Name);
     if (Known == Departed.end() || Known->second.Start != Server.Start ||
         Server.Leaving)
@@ -58,12 +66,14 @@
   std::erase_if(Missing, [&](const auto &Entry) {
     return Now >= MissingUntil || Rows.contains(Entry.first);
   });
-  std::erase_if(Suspects, [&](const auto &Entry) {
+  const auto IsOver = [&](const auto &Entry) {
     const auto Row = Rows.find(Entry.first);
     return Now >= SuspectsUntil || Row == Rows.end() ||
            Row->second.Version != Entry.second.Version ||
            !Listed.contains(Entry.first);
-  });
+  };
+  std::erase_if(Suspects, IsOver);
+  std::erase_if(Restarted, IsOver);
 }
 
 void restored_servers::recordDepartures(const server_map &Listed,
@@ -99,6 +109,8 @@
   if (Watch.advance(Era))
     onRestored(Rows, Listed, Now);
   endHolds(Rows, Listed, Now);
+  for (const auto &[Name, Known] : Restarted)
+    Listed[Name] = Known.Server;
   recordDepartures(Listed, Now);
   for (const auto &[Name, Suspect] : Suspects) {
     if (Suspect.IsRemoved)
--- a/tests/unit/restored_store_test.cpp
+++ b/tests/unit/restored_store_test.cpp
@@ -116,6 +116,27 @@
   BOOST_TEST(!update(Servers, 2, Written, SoonAfter).at("s").Leaving);
 }
 
+BOOST_AUTO_TEST_CASE(CopyWithAFormerStartDoesNotReplaceTheServer) {
+  restored_servers Servers;
+  update(Servers, 1, server_table().add("s", {1, 5}, false, 1), Start);
+  update(Servers, 1, server_table().add("s", {1, 9}, false, 2), Start);
+  const server_table Copy = server_table().add("s", {2, 5}, false, 1);
+  BOOST_TEST(update(Servers, 2, Copy, Restored).at("s").Start == 2U);
+  BOOST_TEST(update(Servers, 2, Copy, SoonAfter).at("s").Start == 2U);
+  const time_point End = Restored + restored_servers::DepartedHold;
+  BOOST_TEST(!Servers.isOver(End - milliseconds(1)));
+  BOOST_TEST(Servers.isOver(End));
+  BOOST_TEST(update(Servers, 2, Copy, End).at("s").Start == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(RowOfAThirdStartIsBelieved) {
+  restored_servers Servers;
+  update(Servers, 1, server_table().add("s", {1, 9}, false, 2), Start);
+  update(Servers, 2, server_table().add("s", {2, 5}, false, 1), Restored);
+  const server_table Written = server_table().add("s", {2, 8}, false, 3);
+  BOOST_TEST(update(Servers, 2, Written, SoonAfter).at("s").Start == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(RemovedServerThatTheCopyListsIsNotUsed) {
   restored_servers Servers;
   update(Servers, 1, server_table().add("s", {1, 5}), Start);
