Rows that expired in an outage are no departures of servers

Found by review. Servers whose rows expired in a long outage, and that had not registered again when the store was restored, were taken for departed: a copy that lists them with the same start was not followed for up to 8 s, for all of them at once, though they ran.

A row that goes in the grace period after an outage counts as a departure only once that period is over and the row is still missing, as it does for the use of the server itself.

Before: ServerWhoseRowExpiredInAnOutageIsUsedWhenTheCopyListsIt check update(Servers, 2, Copy, Restored, true).size() == 1U has failed [0 != 1] ServerThatIsStillMissingAfterTheGracePeriodIsNotUsed passed before and bounds the change. The former tests of the unit call it outside the grace period.

--- a/include/agatedale/restored_store.h
+++ b/include/agatedale/restored_store.h
@@ -84,7 +84,7 @@
 /// show a server as ready that has since begun to leave or was removed, or a
 /// former start of it, and the copy lacks servers that registered later.
 ///
-///   server_map Servers = Restored.update(Era, Rows, Decoded, Now);
+///   Servers = Restored.update(Era, Rows, Decoded, IsGracePeriod, Now);
 class restored_servers {
 public:
   using server_map = std::map<std::string, backend_server>;
@@ -103,10 +103,11 @@
   static constexpr std::size_t MaxDeparted = 4096;
 
   /// Returns the servers to use, given the \p Rows that the store lists in
-  /// \p Era and the servers decoded from them.
+  /// \p Era and the servers decoded from them. In the grace period after an
+  /// outage a row that is missing may have expired though the server runs.
   server_map update(std::uint64_t Era,
                     const std::map<std::string, stored_row> &Rows,
-                    server_map Listed, time_point Now);
+                    server_map Listed, bool IsGracePeriod, time_point Now);
 
   /// Returns true if a hold has ended since the last update.
   bool isOver(time_point Now) const {
@@ -143,13 +144,16 @@
                   const server_map &Listed, time_point Now);
   void endHolds(const std::map<std::string, stored_row> &Rows,
                 const server_map &Listed, time_point Now);
-  void recordDepartures(const server_map &Listed, time_point Now);
+  void recordDepartures(const server_map &Listed, bool IsGracePeriod,
+                        time_point Now);
   void forgetOldest(time_point Now);
 
   era_watch Watch;
   restored_row_corrections Corrections;
   server_map Last; ///< As returned last.
   std::map<std::string, departed_server> Departed;
+  /// Starts of the servers whose rows went in the grace period.
+  std::map<std::string, std::uint64_t> Expired;
   std::map<std::string, suspect> Suspects;
   std::map<std::string, restarted_server> Restarted;
   time_point SuspectsUntil{}; ///< Also of Restarted.
--- a/src/core/restored_store.cpp
+++ b/src/core/restored_store.cpp
@@ -77,10 +77,17 @@
 }
 
 void restored_servers::recordDepartures(const server_map &Listed,
-                                        time_point Now) {
+                                        bool IsGracePeriod, time_point Now) {
   for (const auto &[Name, Server] : Last) {
     if (!Listed.contains(Name) && !Missing.contains(Name))
-      Departed[Name] = {Server.Start, true, Now};
+      Expired[Name] = Server.Start;
+  }
+  std::erase_if(Expired, [&Listed](const auto &Entry) {
+    return Listed.contains(Entry.first);
+  });
+  if (!IsGracePeriod) {
+    for (const auto &[Name, Start] : std::exchange(Expired, {}))
+      Departed[Name] = {Start, true, Now};
   }
   for (const auto &[Name, Server] : Listed) {
     if (Server.Leaving)
@@ -102,16 +109,15 @@
                                     }));
 }
 
-restored_servers::server_map
-restored_servers::update(std::uint64_t Era,
-                         const std::map<std::string, stored_row> &Rows,
-                         server_map Listed, time_point Now) {
+restored_servers::server_map restored_servers::update(
+    std::uint64_t Era, const std::map<std::string, stored_row> &Rows,
+    server_map Listed, bool IsGracePeriod, time_point Now) {
   if (Watch.advance(Era))
     onRestored(Rows, Listed, Now);
   endHolds(Rows, Listed, Now);
   for (const auto &[Name, Known] : Restarted)
     Listed[Name] = Known.Server;
-  recordDepartures(Listed, Now);
+  recordDepartures(Listed, IsGracePeriod, Now);
   for (const auto &[Name, Suspect] : Suspects) {
     if (Suspect.IsRemoved)
       Listed.erase(Name);
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -277,9 +277,9 @@
 std::vector<backend_server> fleet_state::decodeServers() {
   const auto &Rows = Mirror.rows(store_table::Servers);
   ServerRows.update(Rows, platform::decodeServer);
-  std::map<std::string, backend_server> Servers =
-      RestoredServers.update(Mirror.position(store_table::Servers).Era, Rows,
-                             ServerRows.values(), bootNow());
+  std::map<std::string, backend_server> Servers = RestoredServers.update(
+      Mirror.position(store_table::Servers).Era, Rows, ServerRows.values(),
+      GracePeriod.isActive(bootNow()), bootNow());
   logCorrections(RestoredServers.takeCorrections());
   retainExpiredServers(Servers);
   for (auto &[Name, Server] : Servers)
--- a/tests/unit/restored_store_test.cpp
+++ b/tests/unit/restored_store_test.cpp
@@ -37,8 +37,9 @@
 
 restored_servers::server_map update(restored_servers &Restored,
                                     std::uint64_t Era,
-                                    const server_table &Table, time_point Now) {
-  return Restored.update(Era, Table.Rows, Table.Servers, Now);
+                                    const server_table &Table, time_point Now,
+                                    bool IsGracePeriod = false) {
+  return Restored.update(Era, Table.Rows, Table.Servers, IsGracePeriod, Now);
 }
 
 entry_vm vm(const std::string &Name, std::uint64_t Incarnation) {
@@ -137,6 +138,25 @@
   BOOST_TEST(update(Servers, 2, Written, SoonAfter).at("s").Start == 3U);
 }
 
+// Rows of running servers expire in a long outage.
+BOOST_AUTO_TEST_CASE(ServerWhoseRowExpiredInAnOutageIsUsedWhenTheCopyListsIt) {
+  restored_servers Servers;
+  update(Servers, 1, server_table().add("s", {1, 5}), Start);
+  update(Servers, 1, server_table(), Start, true);
+  const server_table Copy = server_table().add("s", {2, 5});
+  BOOST_TEST(update(Servers, 2, Copy, Restored, true).size() == 1U);
+  BOOST_TEST(update(Servers, 2, Copy, SoonAfter).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ServerThatIsStillMissingAfterTheGracePeriodIsNotUsed) {
+  restored_servers Servers;
+  update(Servers, 1, server_table().add("s", {1, 5}), Start);
+  update(Servers, 1, server_table(), Start, true);
+  update(Servers, 1, server_table(), Start + seconds(2));
+  const server_table Copy = server_table().add("s", {2, 5});
+  BOOST_TEST(update(Servers, 2, Copy, Restored).empty());
+}
+
 BOOST_AUTO_TEST_CASE(RemovedServerThatTheCopyListsIsNotUsed) {
   restored_servers Servers;
   update(Servers, 1, server_table().add("s", {1, 5}), Start);
