The hold of departed servers follows the servers' heartbeat

The hold after a restore was 8 s, which fits an interval of 1.5 s: with one of 3 s the store removes a row after 9 s, so a server that had left would have been used for the rest. The interval stands in the settings of the platform; the hold is three of them and a margin now, 8.0 s at 1.5 s as before. Found by reading; HoldOutlastsTheRenewalsAfterWhichARowIsRemoved does not hold for a constant of 8 s at an interval of 3 s.

--- a/include/agatedale/gateway_settings.h
+++ b/include/agatedale/gateway_settings.h
@@ -31,6 +31,8 @@
   std::string StoreAddress;   ///< "ip:port" of the platform store.
   std::map<std::string, std::string> Zones;  ///< Region by zone.
   std::chrono::milliseconds StopGrace{6000}; ///< From SIGTERM to SIGKILL.
+  /// Interval at which servers renew their rows in the store.
+  std::chrono::milliseconds ServerHeartbeat{1500};
   /// CPU cores available to the process, reduced on a slow link.
   double Capacity = 1;
   double LinkBytesPerSecond = 125e6;
--- a/include/agatedale/restored_store.h
+++ b/include/agatedale/restored_store.h
@@ -92,16 +92,26 @@
   /// Running servers have registered again after this time.
   static constexpr duration MissingHold = outage_grace_period::Length;
 
-  /// The store has removed the rows of servers that no longer run, and leaving
-  /// servers have reported again, after this time: three renewals of a row and
-  /// a margin.
-  static constexpr duration DepartedHold = std::chrono::seconds(8);
+  /// The store removes the row of a server that no longer runs after this many
+  /// renewals that it has missed.
+  static constexpr int MissedRenewals = 3;
+
+  /// Added to that, until the removal has reached this VM.
+  static constexpr duration DepartedMargin = std::chrono::milliseconds(3500);
 
   /// A restored copy is not older than this. Servers that have left earlier are
   /// not remembered.
   static constexpr duration DepartedMemory = std::chrono::seconds(60);
   static constexpr std::size_t MaxDeparted = 4096;
 
+  /// Servers renew their rows at intervals of \p Renewal.
+  explicit restored_servers(duration Renewal)
+      : DepartedHold(MissedRenewals * Renewal + DepartedMargin) {}
+
+  /// Returns for how long at most departed servers and former starts that the
+  /// copy lists are not followed.
+  duration departedHold() const { return DepartedHold; }
+
   /// Returns the servers to use, given the \p Rows that the store lists in
   /// \p Era and the servers decoded from them. In the grace period after an
   /// outage a row that is missing may have expired though the server runs.
@@ -148,6 +158,7 @@
                         time_point Now);
   void forgetOldest(time_point Now);
 
+  duration DepartedHold;
   era_watch Watch;
   restored_row_corrections Corrections;
   server_map Last; ///< As returned last.
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::int64_t MaxPort = 65535;
 constexpr double MaxStopGraceSeconds = 600;
+constexpr int MaxHeartbeatMillis = 600'000;
 constexpr double MillisPerSecond = 1000;
 
 /// Share of the configured retry ratio that group owners use without
@@ -55,6 +56,8 @@
   Settings.StopGrace = std::chrono::milliseconds(static_cast<std::int64_t>(
       MillisPerSecond *
       Reader.number("stop_grace_s", 6, 0.5, MaxStopGraceSeconds)));
+  Settings.ServerHeartbeat = std::chrono::milliseconds(
+      Reader.integer("server_heartbeat_ms", 1500, 10, MaxHeartbeatMillis));
   const double LinkMegabits = Reader.number("link_mbps", 1e6, 0.001, 1e6);
   Settings.Capacity = std::min(Reader.number("cpu_share", 1, 0.001, 1024),
                                CoresPerMegabit * LinkMegabits);
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -42,7 +42,8 @@
               store_worker &Worker, const leaving_servers &Leaving,
               handlers Handlers)
       : Settings(Settings), Vms(Vms), Worker(Worker), Leaving(Leaving),
-        Handlers(std::move(Handlers)), Follower({}), RestoredVms(Settings.Vm) {}
+        Handlers(std::move(Handlers)), Follower({}),
+        RestoredServers(Settings.ServerHeartbeat), RestoredVms(Settings.Vm) {}
 
   /// Delays the first read of the store.
   void setStart(time_point NewStartAt) { StartAt = NewStartAt; }
--- a/tests/unit/gateway_settings_test.cpp
+++ b/tests/unit/gateway_settings_test.cpp
@@ -69,6 +69,13 @@
   BOOST_TEST(valueOf(Settings).Capacity < 0.5);
 }
 
+BOOST_AUTO_TEST_CASE(HeartbeatOfTheServersIsRead) {
+  const result<gateway_settings> Settings =
+      load(withLine("cpu_share", "server_heartbeat_ms = 3000"));
+  BOOST_REQUIRE(!errorOf(Settings));
+  BOOST_TEST(valueOf(Settings).ServerHeartbeat.count() == 3000);
+}
+
 BOOST_AUTO_TEST_CASE(BootstrapAndWritesOfTheStoreAreRead) {
   const result<gateway_settings> Settings =
       load(withLine("cpu_share", "bootstrap = true\nstore_writes_per_s = 50"));
--- a/tests/unit/restored_store_test.cpp
+++ b/tests/unit/restored_store_test.cpp
@@ -14,6 +14,7 @@
 
 constexpr time_point Start{std::chrono::hours(1)};
 constexpr time_point Restored = Start + seconds(10);
+constexpr milliseconds Renewal{1500};
 constexpr time_point SoonAfter = Restored + milliseconds(500);
 
 using names = std::set<std::string>;
@@ -94,7 +95,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(LeavingServerIsNotReadyAgainByAnOlderRow) {
-  restored_servers Servers;
+  restored_servers Servers{Renewal};
   update(Servers, 1, server_table().add("s", {1, 5}), Start);
   update(Servers, 1, server_table().add("s", {1, 9}, true), Start);
   const server_table Copy = server_table().add("s", {2, 5});
@@ -103,14 +104,14 @@
 }
 
 BOOST_AUTO_TEST_CASE(RestartedServerIsReadyThoughItsFormerStartWasLeaving) {
-  restored_servers Servers;
+  restored_servers Servers{Renewal};
   update(Servers, 1, server_table().add("s", {1, 9}, true), Start);
   const server_table Copy = server_table().add("s", {2, 5}, false, 2);
   BOOST_TEST(!update(Servers, 2, Copy, Restored).at("s").Leaving);
 }
 
 BOOST_AUTO_TEST_CASE(RowWrittenInTheNewEraIsBelieved) {
-  restored_servers Servers;
+  restored_servers Servers{Renewal};
   update(Servers, 1, server_table().add("s", {1, 9}, true), Start);
   update(Servers, 2, server_table().add("s", {2, 5}), Restored);
   const server_table Written = server_table().add("s", {2, 8});
@@ -118,20 +119,20 @@
 }
 
 BOOST_AUTO_TEST_CASE(CopyWithAFormerStartDoesNotReplaceTheServer) {
-  restored_servers Servers;
+  restored_servers Servers{Renewal};
   update(Servers, 1, server_table().add("s", {1, 5}, false, 1), Start);
   update(Servers, 1, server_table().add("s", {1, 9}, false, 2), Start);
   const server_table Copy = server_table().add("s", {2, 5}, false, 1);
   BOOST_TEST(update(Servers, 2, Copy, Restored).at("s").Start == 2U);
   BOOST_TEST(update(Servers, 2, Copy, SoonAfter).at("s").Start == 2U);
-  const time_point End = Restored + restored_servers::DepartedHold;
+  const time_point End = Restored + Servers.departedHold();
   BOOST_TEST(!Servers.isOver(End - milliseconds(1)));
   BOOST_TEST(Servers.isOver(End));
   BOOST_TEST(update(Servers, 2, Copy, End).at("s").Start == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(RowOfAThirdStartIsBelieved) {
-  restored_servers Servers;
+  restored_servers Servers{Renewal};
   update(Servers, 1, server_table().add("s", {1, 9}, false, 2), Start);
   update(Servers, 2, server_table().add("s", {2, 5}, false, 1), Restored);
   const server_table Written = server_table().add("s", {2, 8}, false, 3);
@@ -140,7 +141,7 @@
 
 // Rows of running servers expire in a long outage.
 BOOST_AUTO_TEST_CASE(ServerWhoseRowExpiredInAnOutageIsUsedWhenTheCopyListsIt) {
-  restored_servers Servers;
+  restored_servers Servers{Renewal};
   update(Servers, 1, server_table().add("s", {1, 5}), Start);
   update(Servers, 1, server_table(), Start, true);
   const server_table Copy = server_table().add("s", {2, 5});
@@ -149,7 +150,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(ServerThatIsStillMissingAfterTheGracePeriodIsNotUsed) {
-  restored_servers Servers;
+  restored_servers Servers{Renewal};
   update(Servers, 1, server_table().add("s", {1, 5}), Start);
   update(Servers, 1, server_table(), Start, true);
   update(Servers, 1, server_table(), Start + seconds(2));
@@ -158,7 +159,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(RemovedServerThatTheCopyListsIsNotUsed) {
-  restored_servers Servers;
+  restored_servers Servers{Renewal};
   update(Servers, 1, server_table().add("s", {1, 5}), Start);
   update(Servers, 1, server_table(), Start);
   const server_table Copy = server_table().add("s", {2, 5});
@@ -170,18 +171,18 @@
 }
 
 BOOST_AUTO_TEST_CASE(RemovedServerThatStaysListedIsUsedInTheEnd) {
-  restored_servers Servers;
+  restored_servers Servers{Renewal};
   update(Servers, 1, server_table().add("s", {1, 5}), Start);
   update(Servers, 1, server_table(), Start);
   const server_table Copy = server_table().add("s", {2, 5});
   update(Servers, 2, Copy, Restored);
-  const time_point End = Restored + restored_servers::DepartedHold;
+  const time_point End = Restored + Servers.departedHold();
   BOOST_TEST(Servers.isOver(End));
   BOOST_TEST(update(Servers, 2, Copy, End).size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(ServerThatTheCopyLacksIsKeptForAWhile) {
-  restored_servers Servers;
+  restored_servers Servers{Renewal};
   update(Servers, 1, server_table().add("s", {1, 5}), Start);
   BOOST_TEST(update(Servers, 2, server_table(), Restored).size() == 1U);
   const time_point End = Restored + restored_servers::MissingHold;
@@ -191,13 +192,13 @@
 }
 
 BOOST_AUTO_TEST_CASE(LeavingServerThatTheCopyLacksIsGone) {
-  restored_servers Servers;
+  restored_servers Servers{Renewal};
   update(Servers, 1, server_table().add("s", {1, 5}, true), Start);
   BOOST_TEST(update(Servers, 2, server_table(), Restored).empty());
 }
 
 BOOST_AUTO_TEST_CASE(ServerRemovedInTheNewEraIsGoneAtOnce) {
-  restored_servers Servers;
+  restored_servers Servers{Renewal};
   update(Servers, 1, server_table().add("s", {1, 5}), Start);
   update(Servers, 2, server_table(), Restored);
   update(Servers, 2, server_table().add("s", {2, 7}), SoonAfter);
@@ -205,7 +206,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(LeavingServerIsRememberedOverASecondRestore) {
-  restored_servers Servers;
+  restored_servers Servers{Renewal};
   update(Servers, 1, server_table().add("s", {1, 9}, true), Start);
   update(Servers, 2, server_table().add("s", {2, 5}), Restored);
   const server_table Copy = server_table().add("s", {3, 5});
@@ -214,7 +215,7 @@
 
 // A row that cannot be decoded names no server, but is no missing row.
 BOOST_AUTO_TEST_CASE(ServerWhoseRowCannotBeReadIsNotKept) {
-  restored_servers Servers;
+  restored_servers Servers{Renewal};
   update(Servers, 1, server_table().add("s", {1, 5}), Start);
   server_table Copy = server_table().add("s", {2, 6});
   Copy.Servers.clear();
@@ -223,7 +224,7 @@
 
 // Servers come and go for an hour, a hundred a second.
 BOOST_AUTO_TEST_CASE(DepartedServersTakeBoundedTime) {
-  restored_servers Servers;
+  restored_servers Servers{Renewal};
   for (int I = 0; I < 20'000; ++I)
     update(Servers, 1,
            server_table().add("s-" + std::to_string(I),
@@ -292,4 +293,9 @@
   BOOST_TEST(Zones.takeCorrections().empty());
 }
 
+BOOST_AUTO_TEST_CASE(HoldOutlastsTheRenewalsAfterWhichARowIsRemoved) {
+  for (const seconds Interval : {seconds(1), seconds(3), seconds(10)})
+    BOOST_TEST((restored_servers(Interval).departedHold() > 3 * Interval));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
