Review: answers that wait for slow clients have no memory limit

The body budget ends when an answer has been received from its server; then it waits without a limit until its client has read it.

--- a/review/harness/backend.cpp
+++ b/review/harness/backend.cpp
@@ -30,7 +30,9 @@
 } // namespace
 
 backend::backend(settings NewSettings, record &Record)
-    : Settings(std::move(NewSettings)), Record(Record) {
+    : Settings(std::move(NewSettings)), Record(Record),
+      AnswerBody(Settings.Id) {
+  AnswerBody.resize(std::max(AnswerBody.size(), Settings.AnswerBytes), '.');
   constexpr int Backlog = 256;
   Listener.bind(Poco::Net::SocketAddress(Settings.Address), true);
   Listener.listen(Backlog);
@@ -165,7 +167,7 @@
                      : fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {0}\r\n"
                                    "Response-Signature: s-{0}\r\n{1}"
                                    "Content-Length: {2}\r\n\r\n{3}",
-                                   Id, Load, Settings.Id.size(), Settings.Id));
+                                   Id, Load, AnswerBody.size(), AnswerBody));
   return true;
 }
 
--- a/review/harness/backend.h
+++ b/review/harness/backend.h
@@ -37,6 +37,7 @@
     int Slots = 2;
     milliseconds Work{50};
     bool TellsLoad = true;
+    std::size_t AnswerBytes = 0; ///< The answer's body is as long at least.
   };
 
   backend(settings Settings, record &Record);
@@ -66,6 +67,7 @@
 
   settings Settings;
   record &Record;
+  std::string AnswerBody;
   Poco::Net::ServerSocket Listener;
   std::atomic<bool> Stopping{false};
   std::atomic<double> ShedShare{0};
--- a/review/harness/gateway.cpp
+++ b/review/harness/gateway.cpp
@@ -141,4 +141,15 @@
   return Pid > 0;
 }
 
+std::size_t gateway::memoryMb() const {
+  constexpr std::size_t KilobytesPerMegabyte = 1024;
+  std::ifstream Status(fmt::format("/proc/{}/status", Pid));
+  for (std::string Word; Status >> Word;) {
+    std::size_t Kilobytes = 0;
+    if (Word == "VmRSS:" && Status >> Kilobytes)
+      return Kilobytes / KilobytesPerMegabyte;
+  }
+  return 0;
+}
+
 } // namespace agatedale::review
--- a/review/harness/gateway.h
+++ b/review/harness/gateway.h
@@ -41,6 +41,8 @@
   void start();
   void signal(int Signal) const;
   bool isRunning();
+  /// Returns the resident memory of the process in MB.
+  std::size_t memoryMb() const;
 
 private:
   std::string Program;
