--- a/review/harness/gateway.cpp
+++ b/review/harness/gateway.cpp
@@ -33,7 +33,7 @@
   try {
     Poco::Net::ServerSocket Probe;
     Probe.bind(Poco::Net::SocketAddress(Ip, static_cast<Poco::UInt16>(Port)),
-               true);
+               false);
     return true;
   } catch (const Poco::Exception &) {
     return false;
