A late write of an older registration does not revive a server

What a server works on when it ends is lost.

Cause: the row with the highest version of the store decided. The store may perform a write seconds after it was sent, so a heartbeat from before the report got a higher version than the report. The order of a server's registrations is its start and its sequence; the adapter checked the sequence and dropped it, and compared starts only after a restore of the store.

Evidence: the late row's sequence is 3, that of the draining row 6; both are now in the log line older-registration. Ruled out: a replica that mixes its sources (one gateway alone shows it, and versions are compared for every source, removals included).

Fix: server_registrations (core) remembers the newest start and sequence of each server, also for 60 s after its row is gone, and replaces a server whose row holds an older one. Peers are told with the heartbeats, because a VM that has started since knows only the row. A row that the store keeps for longer than the row of a silent server is followed, since its server has nothing to change.

--- a/include/agatedale/agatedale.h
+++ b/include/agatedale/agatedale.h
@@ -33,6 +33,7 @@
 #include "agatedale/server_group.h"
 #include "agatedale/server_holds.h"
 #include "agatedale/server_partition.h"
+#include "agatedale/server_registrations.h"
 #include "agatedale/settings.h"
 #include "agatedale/slot_limit.h"
 #include "agatedale/snapshot_limiter.h"
--- a/include/agatedale/configuration.h
+++ b/include/agatedale/configuration.h
@@ -76,7 +76,8 @@
   bool Leaving = false;
   int Slots = 0; ///< Concurrent requests; 0 for the default of the service.
   std::chrono::milliseconds ColdLeft{0}; ///< Remaining time as a cold server.
-  std::uint64_t Start = 0; ///< Identifies this start of the server process.
+  std::uint64_t Start = 0;    ///< Identifies this start of the server process.
+  std::uint64_t Sequence = 0; ///< Counts its registrations within the start.
 
   bool operator==(const backend_server &) const = default;
 };
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -83,7 +83,8 @@
 
 /// Applies the lists anew when what a restored store lacked is kept no longer.
 void fleet_state::endHolds(time_point Now) {
-  if (RestoredZones.isOver(Now) || RestoredServers.isOver(Now))
+  if (RestoredZones.isOver(Now) || RestoredServers.isOver(Now) ||
+      Registrations.isOver(Mirror.asOf(store_table::Servers)))
     rebuild();
   if (RestoredVms.isOver(Now))
     Handlers.OnVmsChanged();
@@ -171,6 +172,19 @@
 
 void fleet_state::applyPeerUpdate(const table_update &Update) { apply(Update); }
 
+void fleet_state::applyPeerRegistrations(
+    std::span<const known_registration> Known) {
+  bool HasNew = false;
+  for (const known_registration &Registration : Known)
+    HasNew = Registrations.learn(Registration, bootNow()) || HasNew;
+  if (HasNew)
+    rebuild();
+}
+
+std::vector<known_registration> fleet_state::registrationsToShare() const {
+  return Registrations.toShare(bootNow());
+}
+
 void fleet_state::logEra(const table_update &Update) const {
   const store_version Known = Mirror.position(Update.Table);
   if (!Known.isKnown() || Update.Position.Era <= Known.Era)
@@ -274,12 +288,37 @@
   }
 }
 
+void fleet_state::logOlderRegistrations() {
+  for (const auto &Older : Registrations.takeOlder()) {
+    OlderRegistrations += Older.IsFollowed ? 0 : 1;
+    logLine(log_level::Warning,
+            Older.IsFollowed ? "older-registration-followed"
+                             : "older-registration",
+            {{"server", Older.Name},
+             {"start", Older.Number.Start},
+             {"sequence", Older.Number.Sequence},
+             {"newest_start", Older.Newest.Start},
+             {"newest_sequence", Older.Newest.Sequence},
+             {"newest_leaving", Older.IsNewestLeaving},
+             {"at_most_ms", toMillis(Registrations.maxHold())},
+             {"replica_age_ms",
+              toMillis(bootNow() - Mirror.asOf(store_table::Servers))}});
+  }
+}
+
 std::vector<backend_server> fleet_state::decodeServers() {
+  const time_point Now = bootNow();
   const auto &Rows = Mirror.rows(store_table::Servers);
+  const std::uint64_t Era = Mirror.position(store_table::Servers).Era;
+  const bool IsGracePeriod = GracePeriod.isActive(Now);
   ServerRows.update(Rows, platform::decodeServer);
+  const listed_servers Listed{Era, Mirror.asOf(store_table::Servers),
+                              IsGracePeriod, Rows};
   std::map<std::string, backend_server> Servers = RestoredServers.update(
-      Mirror.position(store_table::Servers).Era, Rows, ServerRows.values(),
-      GracePeriod.isActive(bootNow()), bootNow());
+      Era, Rows,
+      Registrations.update(Listed, ServerRows.values(), LastServers, Now),
+      IsGracePeriod, Now);
+  logOlderRegistrations();
   logCorrections(RestoredServers.takeCorrections());
   retainExpiredServers(Servers);
   for (auto &[Name, Server] : Servers)
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -6,6 +6,7 @@
 #include "agatedale/leaving_servers.h"
 #include "agatedale/outage_grace_period.h"
 #include "agatedale/restored_store.h"
+#include "agatedale/server_registrations.h"
 #include "agatedale/store_follower.h"
 #include "agatedale/store_mirror.h"
 #include "agatedale/vm_directory.h"
@@ -43,6 +44,7 @@
               handlers Handlers)
       : Settings(Settings), Vms(Vms), Worker(Worker), Leaving(Leaving),
         Handlers(std::move(Handlers)), Follower({}),
+        Registrations(Settings.ServerHeartbeat),
         RestoredServers(Settings.ServerHeartbeat), RestoredVms(Settings.Vm) {}
 
   /// Delays the first read of the store.
@@ -63,6 +65,16 @@
   /// is not older than that of the peers, and every table has been read.
   bool isServing();
 
+  /// Applies what a peer knows of the servers' registrations.
+  void
+  applyPeerRegistrations(std::span<const known_registration> Registrations);
+
+  /// Returns what peers may not know of the servers' registrations.
+  std::vector<known_registration> registrationsToShare() const;
+
+  /// Returns how many rows held an older registration than one known before.
+  std::uint64_t olderRegistrations() const { return OlderRegistrations; }
+
   /// Applies servers that were added to those that leave.
   void onServersLeaving() { rebuild(); }
 
@@ -95,6 +107,7 @@
   void rebuild();
   void decodeConfigurationRow();
   std::vector<backend_server> decodeServers();
+  void logOlderRegistrations();
   std::vector<availability_zone> zones();
   void endHolds(time_point Now);
   void retainExpiredServers(std::map<std::string, backend_server> &Servers);
@@ -120,6 +133,8 @@
   bool StoreUnreachable = false; ///< The replica is older than MaxStoreAge.
   outage_grace_period GracePeriod;
   bool GracePeriodWasActive = false;
+  server_registrations Registrations;
+  std::uint64_t OlderRegistrations = 0;
   restored_zones RestoredZones;
   restored_servers RestoredServers;
   restored_vms RestoredVms;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -14,6 +14,7 @@
 #include "request_router.h"
 #include "store_relay.h"
 #include "store_worker.h"
+#include "wire_convert.h"
 
 #include <fmt/format.h>
 
@@ -279,6 +280,8 @@
                    static_cast<double>(Host->connectionsOpened()));
   Metrics.setGauge("agatedale_server_holds_made", {},
                    static_cast<double>(Host->holdsMade()));
+  Metrics.setGauge("agatedale_older_registrations_seen", {},
+                   static_cast<double>(FleetState->olderRegistrations()));
   Metrics.setGauge("agatedale_ready", {}, isReady() ? 1 : 0);
 }
 
@@ -358,6 +361,7 @@
   const auto Listed = Vms.find(Peer);
   if (Listed && Listed->Zone == Settings.Zone)
     addZonePeerStates(Message, Now);
+  addRegistrations(FleetState->registrationsToShare(), Message);
   Relay.addUpdates(Message, Peer, FleetState->mirror(), Now);
   return Message;
 }
@@ -384,6 +388,8 @@
     Vms.mergeZoneMember({ZonePeer.name_hash(),
                          Now - std::chrono::milliseconds(ZonePeer.age_ms()),
                          ZonePeer.ready(), ZonePeer.leaving()});
+  // Before the rows, which may be older.
+  FleetState->applyPeerRegistrations(readRegistrations(Message));
   Relay.readUpdates(Message, Now, [this](const table_update &Update) {
     FleetState->applyPeerUpdate(Update);
   });
--- a/src/gateway/wire_convert.cpp
+++ b/src/gateway/wire_convert.cpp
@@ -128,6 +128,28 @@
   return Answer;
 }
 
+void addRegistrations(std::span<const known_registration> Registrations,
+                      wire::Heartbeat &Out) {
+  for (const known_registration &Registration : Registrations) {
+    wire::ServerRegistration &Wire = *Out.add_registrations();
+    Wire.set_name(Registration.Name);
+    Wire.set_start(Registration.Number.Start);
+    Wire.set_sequence(Registration.Number.Sequence);
+    Wire.set_leaving(Registration.IsLeaving);
+  }
+}
+
+std::vector<known_registration> readRegistrations(const wire::Heartbeat &In) {
+  std::vector<known_registration> Registrations;
+  for (const wire::ServerRegistration &Wire : In.registrations()) {
+    if (Registrations.size() == server_registrations::MaxShared)
+      break;
+    Registrations.push_back(
+        {Wire.name(), {Wire.start(), Wire.sequence()}, Wire.leaving()});
+  }
+  return Registrations;
+}
+
 wire::TableNews toMessage(const table_update &Update, time_point Now) {
   wire::TableNews Message;
   Message.set_table(static_cast<std::uint32_t>(Update.Table));
--- a/src/gateway/wire_convert.h
+++ b/src/gateway/wire_convert.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "agatedale/leaving_servers.h"
+#include "agatedale/server_registrations.h"
 #include "agatedale/store_mirror.h"
 #include "forward.h"
 
@@ -46,6 +47,12 @@
   return Servers;
 }
 
+/// Adds \p Registrations to a heartbeat, and returns those of a heartbeat.
+void addRegistrations(std::span<const known_registration> Registrations,
+                      agatedale::gateway::Heartbeat &Out);
+std::vector<known_registration>
+readRegistrations(const agatedale::gateway::Heartbeat &In);
+
 agatedale::gateway::TableNews toMessage(const table_update &Update,
                                         time_point Now);
 void addRows(std::span<const stored_row> Rows,
