Requests that a stop cannot finish are refused at once

What callers saw (report of other operators): in a planned stop of one VM, in calm, orders whose last byte came late in the grace were passed on and answered 504 shortly before the end, while the server was at work, or were held in the queue of their group until then and told that they may have run, though no server had been sent them.

Cause: a stop took every request until its last phase. The time of the end was known to stop_sequence alone, not to the groups, which know the deadline, the queue and the run times of the route; a VM that forwards did not tell the owner.

Ruled out: an end of the stop that is too early (the 504s come at the time that stop_sequence sets), and an owner that loses the request (one VM alone, which is its own owner, shows it).

Fix: finish_limit (core) decides whether a request is finished before the VM ends that answers it: by its deadline, three typical run times of its route, or, without a known one, the first half of the grace and a free server. stop_sequence sets it at the signal, server_group keeps it on arrival, in the queue and before a retry, and forwarded and relayed requests carry it along. A refusal is not run, so the caller can repeat the request elsewhere at once.

--- a/include/agatedale/agatedale.h
+++ b/include/agatedale/agatedale.h
@@ -11,6 +11,7 @@
 #include "agatedale/entry_vm.h"
 #include "agatedale/event_log.h"
 #include "agatedale/fair_queue.h"
+#include "agatedale/finish_limit.h"
 #include "agatedale/gateway_node.h"
 #include "agatedale/gateway_settings.h"
 #include "agatedale/group_selector.h"
--- a/include/agatedale/fair_queue.h
+++ b/include/agatedale/fair_queue.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "agatedale/clock.h"
+#include "agatedale/finish_limit.h"
 #include "agatedale/verdict.h"
 
 #include <cstdint>
@@ -36,6 +37,7 @@
   int AvoidServer = -1;     ///< Index of the server that failed it, or -1.
   bool MayHaveRun = false;  ///< True if an earlier attempt may have run it.
   bool Repeatable = true;   ///< False if its body cannot be sent again.
+  finish_limit Finish;      ///< Of the VMs that wait for its answer.
 };
 
 /// A bounded queue that serves client accounts in proportion to their weights
--- a/include/agatedale/server_group.h
+++ b/include/agatedale/server_group.h
@@ -179,6 +179,12 @@
   /// Sets the number of retries that can accumulate unused in this group.
   void setRetryBurst(double Retries) { Budget.setBurst(Retries); }
 
+  /// Refuses requests that cannot be finished before this VM ends.
+  void setFinishLimit(const finish_limit &Limit) {
+    Finish = Limit;
+    HasFinishLimits = HasFinishLimits || Limit.isSet();
+  }
+
   /// Sets the holds that apply to servers which are added. \p NewHolds must
   /// outlive the group.
   void setHolds(const server_holds &NewHolds) { Holds = &NewHolds; }
@@ -312,6 +318,11 @@
   double coldRate(const server_state &State, time_point Now) const;
   bool areEjectionsEnforced(time_point Now) const;
   void refuseUnmeetable(time_point Now, std::vector<group_action> &Actions);
+  bool canFinish(const work_item &Item, time_point Begin,
+                 bool MustWait = false) const;
+  bool isUnfinishable(const work_item &Item, time_point Now);
+  void refuseUnfinishable(time_point Now, std::vector<group_action> &Actions);
+  time_point expectedBegin(int Waiting, time_point Now) const;
   duration expectedServiceTime(const work_item &Item) const;
   bool isClosed(const server_state &State, time_point Now) const;
   duration retryAfter(time_point Now);
@@ -370,6 +381,8 @@
   double TypicalMicros = 0;
   std::map<std::string, double, std::less<>> RouteMicros; ///< By route.
   const server_holds *Holds = nullptr;
+  finish_limit Finish;           ///< Of this VM.
+  bool HasFinishLimits = false;  ///< A VM that waits for answers stops.
   int RefusedWhileHeld = 0;      ///< Refusals since all servers are held.
   bool EjectionsEnforced = true; ///< At most half of the servers are ejected.
   bool IsZoneActive = true;
--- a/include/agatedale/stop_sequence.h
+++ b/include/agatedale/stop_sequence.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "agatedale/clock.h"
+#include "agatedale/finish_limit.h"
 
 #include <chrono>
 #include <cstddef>
@@ -46,9 +47,19 @@
   /// kills the process.
   static constexpr duration Margin = std::chrono::milliseconds(700);
 
+  /// Time for the last answers of servers and peers to arrive before the
+  /// responses are sent.
+  static constexpr duration ReplyTime = std::chrono::milliseconds(100);
+
   /// The platform kills the process \p Grace after \p Since.
   static stop_sequence create(time_point Since, duration Grace);
 
+  /// Returns what a request must keep to be finished by this stop. Requests
+  /// whose run time is not known may begin in the first half of the grace.
+  finish_limit finishLimit() const {
+    return {Since + MaxTime - ReplyTime, Since + (MaxTime + Margin) / 2};
+  }
+
   /// Goes to the next phase if it is time, and returns true if so. Goes one
   /// phase at a time, however late the call is, so that none is left out.
   bool advance(const stop_work &Work, time_point Now);
--- a/src/core/server_group.cpp
+++ b/src/core/server_group.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace agatedale {
 
@@ -44,9 +45,12 @@
                           time_point Now, std::vector<group_action> &Actions) {
   ++Counters.Refused;
   Running.erase(Item.Id);
+  // Other VMs serve what one that ends refuses.
+  const duration RetryAfter =
+      Reason == refusal_reason::Stopping ? duration::zero() : retryAfter(Now);
   Actions.push_back(group_refusal{
       Item.Id, Reason, Item.MayHaveRun ? verdict::MayHaveRun : verdict::NotRun,
-      retryAfter(Now), Item.AttemptsMade});
+      RetryAfter, Item.AttemptsMade});
 }
 
 duration server_group::retryAfter(time_point Now) {
@@ -100,6 +104,10 @@
     refuse(Item, refusal_reason::ServerShed, Now, Actions);
     return Actions;
   }
+  if (isUnfinishable(Item, Now)) {
+    refuse(Item, refusal_reason::Stopping, Now, Actions);
+    return Actions;
+  }
   // An attempt after those of other groups is charged as a retry.
   if (Item.AttemptsBefore > 0 &&
       !Budget.tryWithdraw(retriesReservedFrom(Item))) {
@@ -137,13 +145,53 @@
          Item.Deadline;
 }
 
+/// Returns when the server of a queued request begins, given the number of
+/// requests that wait for a slot with it.
+time_point server_group::expectedBegin(int Waiting, time_point Now) const {
+  const double Rate = std::max(totalLimit(Now), 1);
+  return Now + fromMicros(std::max(Waiting, 0) * TypicalMicros / Rate);
+}
+
+bool server_group::canFinish(const work_item &Item, time_point Begin,
+                             bool MustWait) const {
+  const auto Known = RouteMicros.find(Item.Route);
+  const std::optional<duration> RunTime =
+      Known == RouteMicros.end() ? std::nullopt
+                                 : std::optional(fromMicros(Known->second));
+  return finish_limit::earlier(Item.Finish, Finish)
+      .allows({Begin, Item.Deadline, RunTime, MustWait});
+}
+
+/// Returns true if a request that arrives cannot be finished in time.
+bool server_group::isUnfinishable(const work_item &Item, time_point Now) {
+  HasFinishLimits = HasFinishLimits || Item.Finish.isSet();
+  if (!HasFinishLimits)
+    return false;
+  const bool MustWait = std::cmp_less_equal(totalFree(Now), Queue.size());
+  return !canFinish(Item, Now + expectedWait(Item, Now), MustWait);
+}
+
+void server_group::refuseUnfinishable(time_point Now,
+                                      std::vector<group_action> &Actions) {
+  if (!HasFinishLimits || Queue.empty())
+    return;
+  int Waiting = 1 - totalFree(Now);
+  for (const work_item &Item : Queue.itemsInOrder()) {
+    if (canFinish(Item, expectedBegin(Waiting, Now))) {
+      ++Waiting;
+      continue;
+    }
+    Queue.remove(Item.Id);
+    refuse(Item, refusal_reason::Stopping, Now, Actions);
+  }
+}
+
 void server_group::refuseUnmeetable(time_point Now,
                                     std::vector<group_action> &Actions) {
-  const double Rate = std::max(totalLimit(Now), 1);
   int Waiting = 1 - totalFree(Now);
   for (const work_item &Item : Queue.itemsInOrder()) {
     // A refusal gains nothing while a slot is free.
-    const time_point Begin = Now + fromMicros(Waiting * TypicalMicros / Rate);
+    const time_point Begin = expectedBegin(Waiting, Now);
     const bool IsUnmeetable =
         Waiting > 0 && Item.Aim > time_point{} && !canBeOnTime(Item, Begin);
     if (!IsUnmeetable) {
@@ -167,6 +215,7 @@
     return;
   expireQueue(Now, Actions);
   refuseIfAllHeld(Now, Actions);
+  refuseUnfinishable(Now, Actions);
   if (Settings.QueryServerLoad) {
     dispatchBySpeed(Now, Actions);
     return;
@@ -295,7 +344,8 @@
                      Item.Idempotent);
   const bool HasTime = Now + fromMicros(TypicalMicros) < Item.Deadline;
   const bool Allowed = !HandedOver && Now < LeaseEnd && Repeatable && HasTime &&
-                       IsBelowBound && !allHeldUntil(Now);
+                       IsBelowBound && !allHeldUntil(Now) &&
+                       canFinish(Next, Now);
   if (Allowed && Queue.size() < Queue.capacity() &&
       Budget.tryWithdraw(retriesReservedFrom(Item))) {
     ++Counters.Retries;
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -2,6 +2,7 @@
 /// A request that is forwarded to a server group, and its response.
 #pragma once
 
+#include "agatedale/finish_limit.h"
 #include "agatedale/http_message.h"
 #include "agatedale/leaving_servers.h"
 #include "agatedale/server_group.h"
@@ -27,6 +28,7 @@
   int AttemptsBefore = 0; ///< Attempts made by other groups.
   int OffersBefore = 0;   ///< Number of groups that have refused the request.
   bool Relayed = false;   ///< A VM has already relayed it to the owner.
+  finish_limit Finish;    ///< Of the VMs that wait for the response.
 };
 
 /// A server's response, or a refusal with its reason and whether the request
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -583,6 +583,7 @@
   updateReady();
   CallerListener->closeAfterResponses();
   Stop = stop_sequence::create(bootNow(), Settings.StopGrace);
+  Router->setFinishLimit(Stop->finishLimit());
   sendHeartbeats();
   removeSelf();
   checkStop();
--- a/src/gateway/group_host.cpp
+++ b/src/gateway/group_host.cpp
@@ -60,6 +60,7 @@
   auto Hosted = std::make_unique<hosted_group>(moveValue(std::move(Group)));
   Hosted->Group.setLeaseEnd(time_point::max());
   Hosted->Group.setHolds(Holds);
+  Hosted->Group.setFinishLimit(Finish);
   hosted_group *Created = Hosted.get();
   Groups.emplace(Id, std::move(Hosted));
   configureGroup(Id, *Created);
@@ -88,6 +89,12 @@
     configureGroup(Id, *Hosted);
 }
 
+void group_host::setFinishLimit(const finish_limit &Limit) {
+  Finish = Limit;
+  for (const auto &[Id, Hosted] : Groups)
+    Hosted->Group.setFinishLimit(Limit);
+}
+
 forward_ticket group_host::submit(forward_request Request,
                                   forward_callback Done) {
   const forward_ticket Ticket = ++LastTicket;
@@ -109,6 +116,7 @@
   Item.MaxAttempts = Request.MaxAttempts;
   Item.AttemptsBefore = Request.AttemptsBefore;
   Item.IsFirstOffer = Request.OffersBefore == 0;
+  Item.Finish = Request.Finish;
   Requests.emplace(Ticket,
                    hosted_request{std::move(Request), std::move(Done), "", 0});
   executeActions(Id, Hosted->Group.submit(Item, bootNow()));
--- a/src/gateway/group_host.h
+++ b/src/gateway/group_host.h
@@ -31,6 +31,9 @@
     OnLeaving = std::move(Handler);
   }
 
+  /// Refuses requests that cannot be finished before this VM ends.
+  void setFinishLimit(const finish_limit &Limit);
+
   /// Applies the services and servers of a newer snapshot to all groups.
   void setSnapshot(std::shared_ptr<const fleet_snapshot> NewSnapshot);
 
@@ -94,6 +97,7 @@
   gateway_settings Settings;
   server_pool Pool;
   server_holds Holds;
+  finish_limit Finish;
   std::uint64_t HoldsMade = 0;
   std::function<void(const leaving_server &)> OnLeaving;
   std::shared_ptr<const fleet_snapshot> Snapshot;
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -233,6 +233,7 @@
   }
   const time_point Now = bootNow();
   ActiveRequest->HostTicket = 0;
+  ActiveRequest->Request.Finish = Finish;
   ActiveRequest->Cancel = Peers->forward(
       Owner, makeForward(ActiveRequest->Request, Now),
       ActiveRequest->Request.Deadline + PeerResponseGrace - Now,
@@ -433,9 +434,14 @@
     return Ticket;
   }
   learnLeaving(Message, Request.Group);
-  const auto Finish = [this, Ticket, Done, Share, Group = Request.Group](
-                          const forward_response &Response) {
+  const bool IsPeerStopping = Request.Finish.isSet();
+  const auto Complete = [this, Ticket, Done, Share, IsPeerStopping,
+                         Group = Request.Group](forward_response Response) {
     PeerRequests.erase(Ticket);
+    // This VM stops and the peer does not: it may offer the request elsewhere.
+    if (!IsPeerStopping && Response.Reason == refusal_reason::Stopping &&
+        Response.Verdict == verdict::NotRun)
+      Response.Reason = refusal_reason::NotOwner;
     wire_gateway::Forwarded Reply = toMessage(Response);
     addLeaving(Leaving, Group, bootNow(), Reply);
     Done(std::move(Reply));
@@ -448,16 +454,17 @@
   const bool ShouldRelay = Owner && Owner->Id.Name != Settings.Vm &&
                            !Request.Relayed && Owner->Region == Settings.Region;
   if (!ShouldRelay) {
-    const forward_ticket HostTicket = Host.submit(std::move(Request), Finish);
+    const forward_ticket HostTicket = Host.submit(std::move(Request), Complete);
     PeerRequests[Ticket] = {[this, HostTicket] { Host.cancel(HostTicket); },
-                            Finish, HostTicket};
+                            Complete, HostTicket};
     return Ticket;
   }
   Request.Relayed = true;
+  Request.Finish = finish_limit::earlier(Request.Finish, Finish);
   auto Cancel = Peers->forward(
       *Owner, makeForward(Request, Now),
       Request.Deadline + PeerResponseGrace - Now,
-      [this, Finish, Group = Request.Group](
+      [this, Complete, Group = Request.Group](
           const wire_gateway::Forwarded *Reply, peer_failure Failure) {
         if (Reply)
           learnLeaving(*Reply, Group);
@@ -466,9 +473,9 @@
         Response.Verdict = Failure == peer_failure::NotSent
                                ? verdict::NotRun
                                : verdict::MayHaveRun;
-        Finish(Reply ? fromMessage(*Reply) : Response);
+        Complete(Reply ? fromMessage(*Reply) : Response);
       });
-  PeerRequests[Ticket] = {std::move(Cancel), Finish, 0};
+  PeerRequests[Ticket] = {std::move(Cancel), Complete, 0};
   return Ticket;
 }
 
--- a/src/gateway/request_router.h
+++ b/src/gateway/request_router.h
@@ -62,6 +62,13 @@
                const std::function<void(wire_gateway::Forwarded)> &Done);
   void cancelForPeer(forward_ticket Ticket);
 
+  /// Refuses requests of callers and of peers as not run that cannot be
+  /// finished before this VM ends.
+  void setFinishLimit(const finish_limit &Limit) {
+    Finish = Limit;
+    Host.setFinishLimit(Limit);
+  }
+
   /// Refuses later requests of callers and of peers as not run.
   void refuseLater() { IsEnding = true; }
 
@@ -128,6 +135,7 @@
   std::set<active_request_ptr> ActiveRequests;
   forward_ticket LastPeerTicket = 0;
   std::mt19937_64 Random;
+  finish_limit Finish; ///< Set while this VM stops.
   bool IsEnding = false;
 };
 
--- a/src/gateway/wire_convert.cpp
+++ b/src/gateway/wire_convert.cpp
@@ -52,6 +52,10 @@
   Message.set_offers_before(static_cast<std::uint32_t>(Request.OffersBefore));
   Message.set_id(Request.Id);
   Message.set_relayed(Request.Relayed);
+  if (Request.Finish.isSet()) {
+    Message.set_finish_ms(millisUntil(Request.Finish.By, Now));
+    Message.set_unmeasured_ms(millisUntil(Request.Finish.UnmeasuredUntil, Now));
+  }
   return Message;
 }
 
@@ -77,6 +81,9 @@
   Request.OffersBefore = static_cast<int>(Message.offers_before());
   Request.Id = Message.id();
   Request.Relayed = Message.relayed();
+  if (Message.has_finish_ms())
+    Request.Finish = {Now + std::chrono::milliseconds(Message.finish_ms()),
+                      Now + std::chrono::milliseconds(Message.unmeasured_ms())};
   return Request;
 }
 
