A VM that starts asks other regions which registrations are newer

Fix: region_inquiry (core) chooses two VMs of each other region, which a VM asks once after its start by a heartbeat; the reply names the newer registrations, like those between peers.

LateRowOfAnEndedVmLosesNoRequest shows the same kind of late write for a VM's own row: the request is passed to the next owner as not run and served.

--- a/include/agatedale/agatedale.h
+++ b/include/agatedale/agatedale.h
@@ -26,6 +26,7 @@
 #include "agatedale/platform_client.h"
 #include "agatedale/platform_service.h"
 #include "agatedale/publishing.h"
+#include "agatedale/region_inquiry.h"
 #include "agatedale/registration_pacer.h"
 #include "agatedale/restored_store.h"
 #include "agatedale/result.h"
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -4,6 +4,7 @@
 
 #include "../core/log.h"
 #include "agatedale/metrics.h"
+#include "agatedale/region_inquiry.h"
 #include "agatedale/registration_pacer.h"
 #include "agatedale/stop_sequence.h"
 #include "fleet_state.h"
@@ -89,6 +90,7 @@
   explicit impl(const gateway_settings &Settings)
       : Settings(Settings), Vms(vm_directory::create(makeSelf(Settings), {})),
         Relay(store_relay::create(Settings.LinkBytesPerSecond)),
+        Inquiry(region_inquiry::create(Vms.self(), bootNow())),
         RegistrationPacer(
             registration_pacer::create(Settings.StoreWritesPerSecond)),
         Random(Vms.self().Id.Incarnation ^ stableHash(Settings.Vm)) {}
@@ -119,6 +121,7 @@
   void runCleanupTimer();
   void sendHeartbeats();
   void scheduleHeartbeats();
+  void askOtherRegions();
   wire_gateway::Heartbeat makeHeartbeat(const std::string &Peer);
   void addZonePeerStates(wire_gateway::Heartbeat &Message,
                          time_point Now) const;
@@ -161,6 +164,7 @@
   std::unique_ptr<listener> ReadinessListener;
   std::unique_ptr<listener> MetricsListener;
   store_relay Relay;
+  region_inquiry Inquiry;
   time_point LastHeartbeatsAt{};
   bool HeartbeatsScheduled = false;
   registration_pacer RegistrationPacer;
@@ -317,6 +321,7 @@
 void gateway_node::impl::runHeartbeatTimer() {
   updateReady();
   sendHeartbeats();
+  askOtherRegions();
   Loop->after(FleetState->mirror().isComplete() ? HeartbeatInterval
                                                 : StartHeartbeatInterval,
               [this] { runHeartbeatTimer(); });
@@ -347,6 +352,23 @@
   }
 }
 
+/// Asks VMs of other regions what the rows of the servers do not show. At the
+/// first start of the system nobody knows more.
+void gateway_node::impl::askOtherRegions() {
+  if (PeersStopping || Settings.IsBootstrap || Inquiry.isOver(bootNow()) ||
+      !FleetState->mirror().isComplete())
+    return;
+  for (const entry_vm &Peer : Inquiry.next(Vms.otherVms(), bootNow())) {
+    Transport->heartbeat(Peer, makeHeartbeat(Peer.Id.Name), HeartbeatTimeout,
+                         [this, Peer](const wire_gateway::Heartbeat *Reply) {
+                           if (!Reply)
+                             return;
+                           Inquiry.onReply(Peer);
+                           applyHeartbeat(*Reply);
+                         });
+  }
+}
+
 wire_gateway::Heartbeat
 gateway_node::impl::makeHeartbeat(const std::string &Peer) {
   wire_gateway::Heartbeat Message;
@@ -435,6 +457,7 @@
 
 void gateway_node::impl::onSnapshotChanged() {
   const auto Snapshot = FleetState->view();
+  askOtherRegions();
   Router->setSnapshot(Snapshot);
   Host->setSnapshot(Snapshot);
   CallerListener->setLimits(Snapshot->Config->callers());
