Event loop delay, time between VMs and age of requests are measured

No decision uses the new figures yet.

- turn_clock (core) bounds how long the events of a turn of the event loop may have waited: since the turn before, if the loop did not wait; since the wait began, if it outlasted its timeout. agatedale_event_loop_delay_seconds, and a line event-loop-late from 250 ms on.
- transit_clock (core) measures the time of messages between VMs beyond that of the fastest one of the connection.
Forward carries the time of its making by the sender's clock and the age of the request; a connection opens with a Ping that carries a time as well.
Earlier builds skip the fields and answer the Ping. agatedale_peer_transit_seconds.
- agatedale_request_age_at_send_seconds, and a line request-sent-late with age, time left and loop delay for a request that a late turn sends.

--- a/include/agatedale/agatedale.h
+++ b/include/agatedale/agatedale.h
@@ -43,6 +43,8 @@
 #include "agatedale/store_follower.h"
 #include "agatedale/store_mirror.h"
 #include "agatedale/store_version.h"
+#include "agatedale/transit_clock.h"
+#include "agatedale/turn_clock.h"
 #include "agatedale/update_pacer.h"
 #include "agatedale/verdict.h"
 #include "agatedale/vm_directory.h"
--- a/src/gateway/event_loop.cpp
+++ b/src/gateway/event_loop.cpp
@@ -132,31 +132,50 @@
   }
 }
 
-Poco::Timespan event_loop::untilNextTimer() const {
+Poco::Timespan event_loop::untilNextTimer(time_point Now) const {
   if (Timers.empty())
     return Poco::Timespan(MaxSleepMicros);
   const long Micros =
-      static_cast<long>(toMicros(Timers.begin()->first.first - bootNow()));
+      static_cast<long>(toMicros(Timers.begin()->first.first - Now));
   return Poco::Timespan(std::clamp(Micros, MinSleepMicros, MaxSleepMicros));
 }
 
+Poco::Net::PollSet::SocketModeMap event_loop::waitForEvents() {
+  const time_point Now = bootNow();
+  const Poco::Timespan Timeout = untilNextTimer(Now);
+  Clock.beforeWait(Now, std::chrono::microseconds(Timeout.totalMicroseconds()));
+  Poco::Net::PollSet::SocketModeMap Ready = Sockets.poll(Timeout);
+  Clock.afterWait(bootNow());
+  return Ready;
+}
+
+void event_loop::handleEvents(const Poco::Net::PollSet::SocketModeMap &Ready) {
+  for (const auto &[Socket, Modes] : Ready) {
+    if (Socket == WakeUp) {
+      resetWakeUp();
+      continue;
+    }
+    const auto Found = Handlers.find(Socket.impl());
+    if (Found == Handlers.end())
+      continue;
+    // The handler may unwatch its own socket while it runs.
+    const std::shared_ptr<socket_handler> Handler = Found->second;
+    runGuarded([&Handler, Ready = Modes] { (*Handler)(Ready); });
+  }
+}
+
+void event_loop::reportIfLate() {
+  const time_point Now = bootNow();
+  if (OnLate && Clock.isLate(Now))
+    OnLate(Clock.longestWait(Now));
+}
+
 void event_loop::run() {
   while (!Stopping) {
-    const auto Ready = Sockets.poll(untilNextTimer());
-    for (const auto &[Socket, Modes] : Ready) {
-      if (Socket == WakeUp) {
-        resetWakeUp();
-        continue;
-      }
-      const auto Found = Handlers.find(Socket.impl());
-      if (Found == Handlers.end())
-        continue;
-      // The handler may unwatch its own socket while it runs.
-      const std::shared_ptr<socket_handler> Handler = Found->second;
-      runGuarded([&Handler, Ready = Modes] { (*Handler)(Ready); });
-    }
+    handleEvents(waitForEvents());
     runPosted();
     runTimers();
+    reportIfLate();
   }
   Stopping = false;
 }
--- a/src/gateway/event_loop.h
+++ b/src/gateway/event_loop.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "agatedale/result.h"
+#include "agatedale/turn_clock.h"
 #include "gateway_clock.h"
 
 #include <Poco/Net/PollSet.h>
@@ -47,6 +48,15 @@
   /// Runs \p Task on the loop's thread. May be called from any thread.
   void post(task Task);
 
+  /// Bounds how long what is handled in this turn may have waited.
+  const turn_clock &turnClock() const { return Clock; }
+
+  /// Calls \p Handler at the end of each late turn with the longest time that
+  /// an event may have waited.
+  void setLateHandler(std::function<void(duration)> Handler) {
+    OnLate = std::move(Handler);
+  }
+
   /// Runs the loop until stop() is called. May be called again afterwards.
   void run();
   void stop() { Stopping = true; }
@@ -57,11 +67,16 @@
   template <typename Task> static void runGuarded(const Task &Run);
   void runPosted();
   void runTimers();
-  Poco::Timespan untilNextTimer() const;
+  Poco::Timespan untilNextTimer(time_point Now) const;
+  Poco::Net::PollSet::SocketModeMap waitForEvents();
+  void handleEvents(const Poco::Net::PollSet::SocketModeMap &Ready);
+  void reportIfLate();
   void wake();
   void resetWakeUp();
 
   Poco::Net::PollSet Sockets;
+  turn_clock Clock;
+  std::function<void(duration)> OnLate;
   std::unordered_map<const Poco::Net::SocketImpl *,
                      std::shared_ptr<socket_handler>>
       Handlers;
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -20,6 +20,7 @@
   group_id Group;
   std::string Route;
   http_request_message Message;
+  time_point ArrivedAt; ///< At the first VM, in this VM's time.
   time_point Deadline;
   time_point Aim{}; ///< No latency target if zero.
   int Priority = 0;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -60,6 +60,9 @@
 constexpr duration PeerShutdownGrace = std::chrono::milliseconds(200);
 constexpr duration PeerShutdownPoll = std::chrono::milliseconds(5);
 
+/// Event loop delays from this on are logged.
+constexpr duration LoggedLoopDelay = std::chrono::milliseconds(250);
+
 constexpr double BytesPerMegabit = 1e6 / 8;
 
 constexpr int StatusOk = 200;
@@ -150,6 +153,8 @@
   void endLoop();
   std::optional<error> openMetrics();
   void setGauges();
+  void onLateTurn(duration Delay);
+  void onRequestSent(const forward_request &Request, const std::string &Server);
 
   gateway_settings Settings;
   metrics Metrics;
@@ -189,10 +194,14 @@
   if (const error *Error = errorOf(LoopResult))
     return *Error;
   Loop = moveValue(std::move(LoopResult));
+  Loop->setLateHandler([this](duration Delay) { onLateTurn(Delay); });
   Host = std::make_unique<group_host>(*Loop, Settings);
   Host->setLeavingHandler([this](const leaving_server &Server) {
     onServersLeaving(std::span(&Server, 1), "answer");
   });
+  Host->setSendHandler([this](const auto &Request, const auto &Server) {
+    onRequestSent(Request, Server);
+  });
   Router = std::make_unique<request_router>(*Loop, Settings, Vms, *Host,
                                             Leaving, Metrics);
   Router->setLeavingHandler([this](std::span<const leaving_server> Servers) {
@@ -211,8 +220,9 @@
   Handlers.OnHeartbeat = [this](const auto &Message) {
     return onHeartbeat(Message);
   };
-  Handlers.OnForward = [this](const auto &Message, auto Done) {
-    return Router->serveForPeer(Message, std::move(Done));
+  Handlers.OnForward = [this](const auto &Message, duration UnderWay,
+                              auto Done) {
+    return Router->serveForPeer(Message, UnderWay, std::move(Done));
   };
   Handlers.OnCancel = [this](forward_ticket Ticket) {
     Router->cancelForPeer(Ticket);
@@ -289,6 +299,30 @@
   Metrics.setGauge("agatedale_ready", {}, isReady() ? 1 : 0);
 }
 
+void gateway_node::impl::onLateTurn(duration Delay) {
+  Metrics.record("agatedale_event_loop_delay_seconds", {}, Delay);
+  if (Delay >= LoggedLoopDelay)
+    logLine(log_level::Warning, "event-loop-late",
+            {{"delay_ms", toMillis(Delay)},
+             {"requests", Router->inProgress()},
+             {"connections", CallerListener->connections()}});
+}
+
+void gateway_node::impl::onRequestSent(const forward_request &Request,
+                                       const std::string &Server) {
+  const time_point Now = bootNow();
+  const duration Age = Now - Request.ArrivedAt;
+  Metrics.record("agatedale_request_age_at_send_seconds", {}, Age);
+  if (!Loop->turnClock().isLate(Now))
+    return;
+  logLine(log_level::Info, "request-sent-late",
+          {{"request", Request.Id},
+           {"server", Server},
+           {"age_ms", toMillis(Age)},
+           {"left_ms", toMillis(Request.Deadline - Now)},
+           {"loop_delay_ms", toMillis(Loop->turnClock().longestWait(Now))}});
+}
+
 void gateway_node::impl::stopPeers() {
   PeersStopping = true;
   Transport->stop();
--- a/src/gateway/group_host.cpp
+++ b/src/gateway/group_host.cpp
@@ -151,6 +151,8 @@
   hosted_request &Request = Found->second;
   Request.Server = Order.Server;
   ++Request.Attempts;
+  if (OnSend)
+    OnSend(Request.Request, Order.Server);
   Groups.at(Id)->Calls[Order.Attempt] =
       Pool.send(Order, Request.Request, [this, Id, Order](call_result Result) {
         onResult(Id, Order, std::move(Result));
--- a/src/gateway/group_host.h
+++ b/src/gateway/group_host.h
@@ -31,6 +31,13 @@
     OnLeaving = std::move(Handler);
   }
 
+  /// Sets the handler for requests that are about to be sent to a server.
+  void setSendHandler(
+      std::function<void(const forward_request &, const std::string &Server)>
+          Handler) {
+    OnSend = std::move(Handler);
+  }
+
   /// Refuses requests that cannot be finished before this VM ends.
   void setFinishLimit(const finish_limit &Limit);
 
@@ -100,6 +107,8 @@
   finish_limit Finish;
   std::uint64_t HoldsMade = 0;
   std::function<void(const leaving_server &)> OnLeaving;
+  std::function<void(const forward_request &, const std::string &Server)>
+      OnSend;
   std::shared_ptr<const fleet_snapshot> Snapshot;
   std::map<group_id, std::unique_ptr<hosted_group>> Groups;
   std::map<forward_ticket, hosted_request> Requests;
--- a/src/gateway/peer_transport.cpp
+++ b/src/gateway/peer_transport.cpp
@@ -38,6 +38,17 @@
   return Reply;
 }
 
+std::uint64_t madeAtMicros() {
+  return static_cast<std::uint64_t>(toMicros(bootNow().time_since_epoch()));
+}
+
+/// Returns how long a message that was just received was under way.
+duration timeUnderWay(transit_clock &Transit, std::uint64_t MadeAtMicros) {
+  if (MadeAtMicros == 0)
+    return duration::zero(); // A peer of an earlier build does not tell.
+  return Transit.delayOf(std::chrono::microseconds(MadeAtMicros), bootNow());
+}
+
 } // namespace
 
 result<std::unique_ptr<peer_transport>>
@@ -192,6 +203,10 @@
 void peer_transport::onConnected(peer &Peer) {
   Peer.RetryDelay = duration::zero();
   Peer.PingSentAt = time_point{};
+  wire_gateway::Ping Opening;
+  Opening.set_made_at_us(madeAtMicros());
+  Peer.Connection->send(peer_message_kind::Ping, 0,
+                        Opening.SerializeAsString());
   const auto Calls = Peer.Calls;
   for (const auto &[Number, Call] : Calls) {
     if (!Call->Sent)
@@ -503,7 +518,7 @@
     onCancel(From, Call);
     return;
   case peer_message_kind::Ping:
-    From->Connection->send(peer_message_kind::Pong, Call, "");
+    onPing(From, Call, Message);
     return;
   case peer_message_kind::HeartbeatReply:
   case peer_message_kind::ForwardReply:
@@ -533,7 +548,7 @@
   const auto Answered = std::make_shared<bool>(false);
   const std::weak_ptr<incoming_peer> WeakFrom = From;
   const forward_ticket Ticket = Handlers.OnForward(
-      Request,
+      Request, timeUnderWay(From->Transit, Request.made_at_us()),
       [WeakFrom, Call, Answered](const wire_gateway::Forwarded &Reply) {
         *Answered = true;
         const auto Sender = WeakFrom.lock();
@@ -558,6 +573,17 @@
   Handlers.OnCancel(Ticket);
 }
 
+void peer_transport::onPing(const incoming_peer_ptr &From, std::uint64_t Call,
+                            std::string_view Message) {
+  wire_gateway::Ping Ping;
+  if (Ping.ParseFromArray(Message.data(), static_cast<int>(Message.size())))
+    timeUnderWay(From->Transit, Ping.made_at_us());
+  else
+    logLine(log_level::Error, "peer-message-refused",
+            {{"why", "unreadable ping"}});
+  From->Connection->send(peer_message_kind::Pong, Call, "");
+}
+
 void peer_transport::onIncomingEnded(const incoming_peer_ptr &From) {
   const auto Tickets = std::exchange(From->Tickets, {});
   Accepted.erase(From);
--- a/src/gateway/peer_transport.h
+++ b/src/gateway/peer_transport.h
@@ -5,6 +5,7 @@
 #include "agatedale/body_budget.h"
 #include "agatedale/entry_vm.h"
 #include "agatedale/result.h"
+#include "agatedale/transit_clock.h"
 #include "event_loop.h"
 #include "forward.h"
 #include "peer_connection.h"
@@ -43,8 +44,10 @@
   struct handlers {
     std::function<wire_gateway::Heartbeat(const wire_gateway::Heartbeat &)>
         OnHeartbeat;
-    /// Returns a ticket for cancelling the request.
+    /// Called with the time that the request was under way. Returns a ticket
+    /// for cancelling it.
     std::function<forward_ticket(const wire_gateway::Forward &,
+                                 duration UnderWay,
                                  std::function<void(wire_gateway::Forwarded)>)>
         OnForward;
     std::function<void(forward_ticket)> OnCancel;
@@ -134,6 +137,7 @@
     std::string Ip;
     std::shared_ptr<peer_connection> Connection;
     std::map<std::uint64_t, forward_ticket> Tickets; ///< By call number.
+    transit_clock Transit;
   };
   using incoming_peer_ptr = std::shared_ptr<incoming_peer>;
 
@@ -169,6 +173,8 @@
   void onForward(const incoming_peer_ptr &From, std::uint64_t Call,
                  std::string_view Message);
   void onCancel(const incoming_peer_ptr &From, std::uint64_t Call);
+  static void onPing(const incoming_peer_ptr &From, std::uint64_t Call,
+                     std::string_view Message);
   void onIncomingEnded(const incoming_peer_ptr &From);
 
   event_loop &Loop;
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -153,6 +153,7 @@
   ActiveRequest->HomeRegions = Route->Homes;
   forward_request &Request = ActiveRequest->Request;
   Request.Id = Terms.Id;
+  Request.ArrivedAt = Exchange->ReceivedAt;
   Request.Route = Route->Name;
   Request.Deadline =
       Exchange->ReceivedAt +
@@ -405,7 +406,7 @@
 }
 
 forward_ticket request_router::serveForPeer(
-    const wire_gateway::Forward &Message,
+    const wire_gateway::Forward &Message, duration UnderWay,
     const std::function<void(wire_gateway::Forwarded)> &Done) {
   const forward_ticket Ticket = ++LastPeerTicket;
   const time_point Now = bootNow();
@@ -426,6 +427,7 @@
     return Ticket;
   }
   forward_request Request = moveValue(std::move(Read));
+  Metrics.record("agatedale_peer_transit_seconds", {}, UnderWay);
   const auto Share = std::make_shared<body_reservation>(Bodies);
   if (!Share->resize(Request.Message.Body.size())) {
     forward_response Refused;
--- a/src/gateway/wire_convert.cpp
+++ b/src/gateway/wire_convert.cpp
@@ -52,6 +52,9 @@
   Message.set_offers_before(static_cast<std::uint32_t>(Request.OffersBefore));
   Message.set_id(Request.Id);
   Message.set_relayed(Request.Relayed);
+  Message.set_made_at_us(
+      static_cast<std::uint64_t>(toMicros(Now.time_since_epoch())));
+  Message.set_age_ms(millisUntil(Now, Request.ArrivedAt));
   if (Request.Finish.isSet()) {
     Message.set_finish_ms(millisUntil(Request.Finish.By, Now));
     Message.set_unmeasured_ms(millisUntil(Request.Finish.UnmeasuredUntil, Now));
@@ -60,7 +63,7 @@
 }
 
 result<forward_request> fromMessage(const wire::Forward &Message,
-                                    time_point Now) {
+                                    time_point MadeAt) {
   const result<group_id> Group = parseGroupId(Message.group());
   if (const error *Error = errorOf(Group))
     return *Error;
@@ -71,9 +74,10 @@
   Request.Message.Target = Message.target();
   Request.Message.Headers = readHeaders(Message);
   Request.Message.Body = Message.body();
-  Request.Deadline = Now + std::chrono::milliseconds(Message.deadline_ms());
+  Request.ArrivedAt = MadeAt - std::chrono::milliseconds(Message.age_ms());
+  Request.Deadline = MadeAt + std::chrono::milliseconds(Message.deadline_ms());
   if (Message.aim_ms() != 0)
-    Request.Aim = Now + std::chrono::milliseconds(Message.aim_ms());
+    Request.Aim = MadeAt + std::chrono::milliseconds(Message.aim_ms());
   Request.Priority = Message.priority();
   Request.Idempotent = Message.idempotent();
   Request.MaxAttempts = static_cast<int>(Message.attempts_left());
@@ -82,8 +86,9 @@
   Request.Id = Message.id();
   Request.Relayed = Message.relayed();
   if (Message.has_finish_ms())
-    Request.Finish = {Now + std::chrono::milliseconds(Message.finish_ms()),
-                      Now + std::chrono::milliseconds(Message.unmeasured_ms())};
+    Request.Finish = {MadeAt + std::chrono::milliseconds(Message.finish_ms()),
+                      MadeAt +
+                          std::chrono::milliseconds(Message.unmeasured_ms())};
   return Request;
 }
 
--- a/src/gateway/wire_convert.h
+++ b/src/gateway/wire_convert.h
@@ -16,8 +16,11 @@
 
 agatedale::gateway::Forward toMessage(const forward_request &Request,
                                       time_point Now);
+
+/// Decodes a request. \p MadeAt is when its sender made the message: the times
+/// that were left are counted from then on.
 result<forward_request> fromMessage(const agatedale::gateway::Forward &Message,
-                                    time_point Now);
+                                    time_point MadeAt);
 
 agatedale::gateway::Forwarded toMessage(const forward_response &Answer);
 forward_response fromMessage(const agatedale::gateway::Forwarded &Message);
--- a/tests/unit/peer_transport_test.cpp
+++ b/tests/unit/peer_transport_test.cpp
@@ -55,7 +55,8 @@
       return Message;
     };
     Handlers.OnForward = [this](const wire_gateway::Forward &Message,
-                                reply Done) {
+                                duration UnderWay, reply Done) {
+      LastUnderWay = UnderWay;
       ++Requests;
       LastBodyBytes = Message.body().size();
       if (KeepsBack) {
@@ -138,6 +139,7 @@
   int HeartbeatAt = -1;
   int Cancelled = 0;
   std::size_t LastBodyBytes = 0;
+  duration LastUnderWay{};
   int Finished = 0;
   std::optional<wire_gateway::Forwarded> Answer;
   std::optional<peer_failure> Failure;
@@ -494,7 +496,7 @@
   std::promise<transport_pair::reply> Arrived;
   peer_transport::handlers Handlers;
   Handlers.OnHeartbeat = [](const auto &Message) { return Message; };
-  Handlers.OnForward = [&Arrived](const auto &, auto Done) {
+  Handlers.OnForward = [&Arrived](const auto &, duration, auto Done) {
     Arrived.set_value(std::move(Done));
     return forward_ticket(1);
   };
