A server is given the time that is left when its request is sent

Cause: Deadline-Ms was written when the call was made. A connection that takes up to 400 ms, or an event loop that sees it late, added to it, and nothing looked at the deadline again.

Fix: server_connection writes the header when the bytes go out. A request whose deadline has passed by then, or whose caller has left (looked at in late turns only, IsWanted is not set by anyone yet), ends as the new outcome TooLate: not run, no failure of the server, not repeated. The connection is kept.

--- a/include/agatedale/server_group.h
+++ b/include/agatedale/server_group.h
@@ -85,6 +85,7 @@
   WrongServer,    ///< Not run: the address is another server's.
   ConnectFailed,  ///< No connection; nothing was sent.
   NotSent,        ///< The lease ended before anything was sent.
+  TooLate,        ///< Not sent: nobody waits for the answer any more.
   ConnectionLost, ///< The connection closed after sending began.
   TimedOut,       ///< No answer before the attempt's deadline.
   Truncated,      ///< The answer ended before it was complete.
--- a/src/core/attempt_outcome.cpp
+++ b/src/core/attempt_outcome.cpp
@@ -20,6 +20,8 @@
     return "connect-failed";
   case attempt_outcome::NotSent:
     return "not-sent";
+  case attempt_outcome::TooLate:
+    return "too-late";
   case attempt_outcome::ConnectionLost:
     return "broke";
   case attempt_outcome::TimedOut:
@@ -44,6 +46,7 @@
   case attempt_outcome::WrongServer:
   case attempt_outcome::ConnectFailed:
   case attempt_outcome::NotSent:
+  case attempt_outcome::TooLate:
     return verdict::NotRun;
   case attempt_outcome::ConnectionLost:
   case attempt_outcome::TimedOut:
@@ -66,6 +69,7 @@
   case attempt_outcome::NotSent:
     return refusal_reason::NotOwner;
   case attempt_outcome::TimedOut:
+  case attempt_outcome::TooLate:
     return refusal_reason::DeadlinePassed;
   case attempt_outcome::Truncated:
     return refusal_reason::AnswerTruncated;
--- a/src/core/server_group.cpp
+++ b/src/core/server_group.cpp
@@ -342,6 +342,7 @@
   const bool Repeatable =
       Item.Repeatable && Outcome != attempt_outcome::BodyIncomplete &&
       Outcome != attempt_outcome::NotSent &&
+      Outcome != attempt_outcome::TooLate &&
       isRetryAllowed(Next.MayHaveRun ? verdict::MayHaveRun : verdict::NotRun,
                      Item.Idempotent);
   const bool HasTime = Now + fromMicros(TypicalMicros) < Item.Deadline;
--- a/src/core/server_group_servers.cpp
+++ b/src/core/server_group_servers.cpp
@@ -277,6 +277,7 @@
                           !shedWithFreeSlot(State, Outcome, Now);
   const bool IsInconclusive =
       IsFullShed || Outcome == attempt_outcome::NotSent ||
+      Outcome == attempt_outcome::TooLate ||
       Outcome == attempt_outcome::Cancelled ||
       Outcome == attempt_outcome::Draining ||
       Outcome == attempt_outcome::BodyIncomplete ||
@@ -314,6 +315,7 @@
     State.Limit.resetToCold();
     return;
   case attempt_outcome::NotSent:
+  case attempt_outcome::TooLate:
   case attempt_outcome::Cancelled:
     return;
   case attempt_outcome::ConnectFailed:
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -30,6 +30,9 @@
   int OffersBefore = 0;   ///< Number of groups that have refused the request.
   bool Relayed = false;   ///< A VM has already relayed it to the owner.
   finish_limit Finish;    ///< Of the VMs that wait for the response.
+  /// Looks whether the caller has left or the peer has cancelled the request.
+  /// Returns false if so; may be empty.
+  std::function<bool()> IsWanted;
 };
 
 /// A server's response, or a refusal with its reason and whether the request
--- a/src/gateway/server_pool.cpp
+++ b/src/gateway/server_pool.cpp
@@ -69,6 +69,9 @@
   void failCall(attempt_outcome Outcome);
   bool isTooLarge();
   void onMismatchedAnswer();
+  std::string_view reasonNotToSend(time_point Now) const;
+  void finishUnsent(std::string_view Why);
+  std::string encodeCall(time_point Now) const;
   void beginDecoding();
   void onResponseHead(int Status, const header_list &Headers);
   void onResponse();
@@ -141,21 +144,62 @@
   startCall(Call);
 }
 
+/// Returns why the request is not sent, or nothing if it is.
+std::string_view server_connection::reasonNotToSend(time_point Now) const {
+  if (Call->IsLoadProbe)
+    return {};
+  if (Now >= Call->RequestDeadline)
+    return "deadline passed";
+  // The end of the caller's connection may wait behind other events.
+  const bool MayHaveLeft = Call->IsWanted && Pool.Loop.turnClock().isLate(Now);
+  return MayHaveLeft && !Call->IsWanted() ? "caller left" : "";
+}
+
+void server_connection::finishUnsent(std::string_view Why) {
+  logLine(log_level::Info, "request-not-sent",
+          {{"request", Call->RequestId},
+           {"server", Call->Order.Server},
+           {"why", Why}});
+  // Posted because the group may still be deciding about this request.
+  Pool.Loop.post([Self = shared_from_this(), Unsent = Call] {
+    const call_result Result{attempt_outcome::TooLate, {}, std::nullopt};
+    if (Self->Call == Unsent)
+      Self->finishCall(Result);
+    else if (const auto Done = std::move(Unsent->Done))
+      Done(Result); // The connection has ended meanwhile.
+  });
+}
+
+std::string server_connection::encodeCall(time_point Now) const {
+  http_request_message Message = std::move(Call->Message);
+  const duration Left =
+      Call->IsLoadProbe ? LoadProbeTimeout : Call->Order.Deadline - Now;
+  platform::setServerHeaders(
+      Message, Call->Order.Server,
+      std::chrono::duration_cast<std::chrono::milliseconds>(Left));
+  return encodeRequest(Message, Call->Order.Address);
+}
+
 void server_connection::startCall(const std::shared_ptr<server_call> &Next) {
   Call = Next;
+  BytesSentBefore = Stream->bytesSent();
+  const time_point Now = bootNow();
+  if (const std::string_view Why = reasonNotToSend(Now); !Why.empty()) {
+    finishUnsent(Why);
+    return;
+  }
   ++CallsStarted;
   SaidLeaving = false;
   RetryAfter.reset();
   beginDecoding();
   Share = body_reservation(Pool.Bodies);
-  BytesSentBefore = Stream->bytesSent();
   const std::weak_ptr<server_connection> Weak = weak_from_this();
   Call->Timer =
-      Pool.Loop.after(Call->Order.Deadline + ResponseGrace - bootNow(), [Weak] {
+      Pool.Loop.after(Call->Order.Deadline + ResponseGrace - Now, [Weak] {
         if (const auto Self = Weak.lock())
           Self->onTimeout();
       });
-  Stream->send(Call->Bytes);
+  Stream->send(encodeCall(Now));
 }
 
 void server_connection::onTimeout() {
@@ -351,14 +395,10 @@
   Call->RequestId = Request.Id;
   Call->RequestDeadline = Request.Deadline;
   Call->IsHeadRequest = Request.Message.Method == "HEAD";
+  Call->IsWanted = Request.IsWanted;
   Call->Done = std::move(Done);
-  http_request_message Message = Request.Message;
-  Message.Headers.remove("Accept-Encoding");
-  platform::setServerHeaders(
-      Message, Order.Server,
-      std::chrono::duration_cast<std::chrono::milliseconds>(Order.Deadline -
-                                                            bootNow()));
-  Call->Bytes = encodeRequest(Message, Order.Address);
+  Call->Message = Request.Message;
+  Call->Message.Headers.remove("Accept-Encoding");
   startCall(Call);
   return Call;
 }
@@ -371,11 +411,7 @@
   Call->Order.Deadline = bootNow() + LoadProbeTimeout - ResponseGrace;
   Call->IsLoadProbe = true;
   Call->Done = std::move(Done);
-  http_request_message Message{"GET", Path, {}, ""};
-  platform::setServerHeaders(
-      Message, Order.Server,
-      std::chrono::duration_cast<std::chrono::milliseconds>(LoadProbeTimeout));
-  Call->Bytes = encodeRequest(Message, Order.Address);
+  Call->Message = {"GET", Path, {}, ""};
   startCall(Call);
 }
 
--- a/src/gateway/server_pool.h
+++ b/src/gateway/server_pool.h
@@ -45,7 +45,9 @@
   send_action Order;
   std::string RequestId;
   time_point RequestDeadline; ///< The request is not sent again afterwards.
-  std::string Bytes;
+  http_request_message Message; ///< Until it is sent.
+  /// Returns false if nobody waits for the answer any more; may be empty.
+  std::function<bool()> IsWanted;
   bool IsHeadRequest = false;
   bool IsLoadProbe = false; ///< A load query, not a caller's request.
   done Done;
@@ -57,7 +59,8 @@
 /// each. A connection that receives unexpected data is closed: bytes that
 /// arrive while no request is in progress cannot be matched to a request. A
 /// request is not sent again on a connection on which it was refused, because a
-/// copy of the refusal would match it.
+/// copy of the refusal would match it. A request whose deadline has passed when
+/// it could be sent, or whose caller has left, is not sent.
 ///
 ///   auto Call = Pool.send(Order, Request, Done);
 class server_pool {
