The wait of a request before it is read counts, and its caller is looked for

Fix: - tcp_stream estimates when bytes arrived. In a late turn the system's age of the last bytes is asked for; without it the middle of the possible time is taken. arrival_marks (core) keeps the times for the bytes of the buffer, so that requests behind others of a connection count their wait as well. - Deadline-Ms counts from the first byte of a request. The route's timeout and target time count from its last byte as before, but from its arrival. - Before a request that waited is served, and before one is sent to a server in a late turn, the socket is asked whether the caller has closed it. - A request whose deadline has passed is refused at once as not run. Requests that were held up and can still be answered are served (RequestReadLateIsServedIfItsCallerStillWaits). Calm turns make no extra call.

--- a/include/agatedale/agatedale.h
+++ b/include/agatedale/agatedale.h
@@ -2,6 +2,7 @@
 /// Umbrella header of the public API.
 #pragma once
 
+#include "agatedale/arrival_marks.h"
 #include "agatedale/body_budget.h"
 #include "agatedale/clock.h"
 #include "agatedale/cold_start_limiter.h"
--- a/include/agatedale/turn_clock.h
+++ b/include/agatedale/turn_clock.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <optional>
 
 namespace agatedale {
@@ -41,8 +42,12 @@
     else
       Since = Now;
     TurnBegan = Now;
+    ++Turns;
   }
 
+  /// Returns the number of turns so far.
+  std::uint64_t turns() const { return Turns; }
+
   /// Returns a time before which none of the turn's events occurred.
   time_point eventsSince() const { return Since; }
 
@@ -61,6 +66,7 @@
   time_point WaitBegan{};
   time_point Since{};
   duration Timeout{};
+  std::uint64_t Turns = 0;
 };
 
 /// Returns when bytes arrived that are read at \p Now: not before \p Since, and
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -39,16 +39,23 @@
   Owner->sendResponsesInOrder();
 }
 
+bool caller_exchange::hasCallerLeft() const {
+  const std::shared_ptr<caller_connection> Owner = Connection.lock();
+  return !Owner || Owner->Stream->hasPeerClosed();
+}
+
 void caller_connection::open(event_loop &Loop,
                              const Poco::Net::StreamSocket &Socket,
+                             time_point UnreadSince,
                              std::shared_ptr<context> Context) {
   const std::shared_ptr<caller_connection> Connection(
       new caller_connection(Loop, std::move(Context)));
   Connection->Context->Opened(Connection);
-  Connection->start(Socket);
+  Connection->start(Socket, UnreadSince);
 }
 
-void caller_connection::start(const Poco::Net::StreamSocket &Socket) {
+void caller_connection::start(const Poco::Net::StreamSocket &Socket,
+                              time_point UnreadSince) {
   const std::weak_ptr<caller_connection> Weak = weak_from_this();
   tcp_stream::handlers Handlers;
   Handlers.Received = [Weak](std::string_view Bytes) {
@@ -59,7 +66,7 @@
     if (const auto Self = Weak.lock())
       Self->onEnded();
   };
-  Stream = tcp_stream::accept(Loop, Socket, std::move(Handlers));
+  Stream = tcp_stream::accept(Loop, Socket, UnreadSince, std::move(Handlers));
   armTimer();
 }
 
@@ -109,12 +116,13 @@
     return;
   HasReceived = true;
   Buffer.append(Bytes);
+  Arrivals.onAppended(Bytes.size(), Stream->arrivedAt());
   decodeAll();
 }
 
 void caller_connection::decodeAll() {
   const auto Self = shared_from_this();
-  while (mayDecode() && !Buffer.empty()) {
+  while (mayDecode() && !Buffer.empty() && !Stream->isClosed()) {
     if (!Decoder) {
       const caller_limits &Limits = Context->Limits;
       Decoder = std::make_unique<request_decoder>(
@@ -122,9 +130,12 @@
                          static_cast<std::uint64_t>(Limits.BodyBytes)});
       Share = body_reservation(Context->Bodies);
       ContinueSent = false;
+      RequestArrivedAt = Arrivals.front();
     }
     const bool WasReceiving = Decoder->hasStarted();
+    const std::size_t BytesBefore = Buffer.size();
     const decode_state State = Decoder->feed(Buffer);
+    Arrivals.onConsumed(BytesBefore - Buffer.size());
     if (State == decode_state::Failed) {
       fail(Decoder->failureStatus());
       return;
@@ -160,16 +171,34 @@
   Exchange->Request = Decoder->takeMessage();
   Exchange->IsHeadRequest = Exchange->Request.Method == "HEAD";
   Exchange->Share = std::move(Share);
-  Exchange->ReceivedAt = bootNow();
+  Exchange->ArrivedAt = RequestArrivedAt;
+  Exchange->WholeAt = Arrivals.lastConsumed();
   Exchange->Connection = weak_from_this();
   ReadingDone = !Exchange->KeepAlive;
   Decoder.reset();
   Pending.push_back(Exchange);
   ++Context->Counts.Received;
   armTimer();
+  if (hasLeftUnnoticed()) {
+    ++Context->Counts.Departed;
+    logLine(log_level::Info, "request-not-served",
+            {{"why", "caller left"},
+             {"age_ms", toMillis(bootNow() - RequestArrivedAt)}});
+    end(connection_end::ByCaller);
+    return;
+  }
   Context->Serve(Exchange);
 }
 
+/// Returns true if the end of the connection waits behind what was read: the
+/// event loop is late, or the request has waited for those before it.
+bool caller_connection::hasLeftUnnoticed() const {
+  const time_point Now = bootNow();
+  const bool HasWaited = Loop.turnClock().isLate(Now) ||
+                         Now - Arrivals.lastConsumed() > turn_clock::LateAfter;
+  return HasWaited && Stream->hasPeerClosed();
+}
+
 void caller_connection::fail(int Status) { fail({Status, {}, ""}); }
 
 void caller_connection::refuseMemoryFull() {
@@ -233,6 +262,7 @@
   ReadingDone = true;
   cancelPending(connection_end::ByGateway);
   Buffer.clear();
+  Arrivals.clear();
   Stream->pauseReading(false);
   Stream->finishSending();
   armLingerTimer();
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -2,6 +2,7 @@
 /// A caller's HTTP connection with pipelined requests.
 #pragma once
 
+#include "agatedale/arrival_marks.h"
 #include "agatedale/body_budget.h"
 #include "agatedale/configuration.h"
 #include "http_codec.h"
@@ -25,7 +26,11 @@
 class caller_exchange {
 public:
   http_request_message Request;
-  time_point ReceivedAt{};
+  time_point ArrivedAt{}; ///< Of the request's first byte.
+  time_point WholeAt{};   ///< Arrival of its last byte.
+
+  /// Looks whether the caller has closed the connection.
+  bool hasCallerLeft() const;
 
   /// Sends the response after those to earlier requests. If \p Close is set the
   /// connection is closed afterwards. Only the first call has an effect.
@@ -56,7 +61,8 @@
   /// Requests of all connections of a listener since its start.
   struct request_counts {
     std::uint64_t Received = 0;
-    std::uint64_t Dropped = 0; ///< Read, and the gateway closed unanswered.
+    std::uint64_t Dropped = 0;  ///< Read, and the gateway closed unanswered.
+    std::uint64_t Departed = 0; ///< Read after the caller had left.
   };
 
   /// Bytes that a connection holds in one direction or the other.
@@ -79,8 +85,10 @@
     std::function<void(const std::shared_ptr<caller_connection> &)> Closed;
   };
 
+  /// Serves an accepted connection, whose first bytes did not arrive before
+  /// \p UnreadSince.
   static void open(event_loop &Loop, const Poco::Net::StreamSocket &Socket,
-                   std::shared_ptr<context> Context);
+                   time_point UnreadSince, std::shared_ptr<context> Context);
 
   /// Closes the connection if no request has arrived, is being received or
   /// served. A request that arrives later is not read.
@@ -104,7 +112,7 @@
   caller_connection(event_loop &Loop, std::shared_ptr<context> Context)
       : Loop(Loop), Context(std::move(Context)) {}
 
-  void start(const Poco::Net::StreamSocket &Socket);
+  void start(const Poco::Net::StreamSocket &Socket, time_point UnreadSince);
   void onReceived(std::string_view Bytes);
   void onEnded();
   void onTimeout();
@@ -116,6 +124,7 @@
   void decodeAll();
   bool mayDecode() const;
   void serveDecoded();
+  bool hasLeftUnnoticed() const;
   void fail(int Status);
   void refuseMemoryFull();
   void fail(const http_response_message &Response);
@@ -129,7 +138,9 @@
   std::shared_ptr<context> Context;
   std::shared_ptr<tcp_stream> Stream;
   std::string Buffer;
+  arrival_marks Arrivals; ///< Of the bytes in Buffer.
   std::unique_ptr<request_decoder> Decoder;
+  time_point RequestArrivedAt{}; ///< Of the request that is being received.
   body_reservation Share; ///< The share of the request that is being received.
   bool ContinueSent = false;
   time_point OpenedAt = bootNow();
--- a/src/gateway/listener.cpp
+++ b/src/gateway/listener.cpp
@@ -50,16 +50,21 @@
 }
 
 void listener::acceptReady() {
-  for (int I = 0; I < MaxAcceptsInRow && acceptNext(); ++I) {
-  }
+  const time_point Since = std::min(Loop.turnClock().eventsSince(),
+                                    BacklogSince.value_or(time_point::max()));
+  int Accepted = 0;
+  while (Accepted < MaxAcceptsInRow && acceptNext(Since))
+    ++Accepted;
+  BacklogSince =
+      Accepted < MaxAcceptsInRow ? std::nullopt : std::optional(Since);
 }
 
 /// Returns false if no connection waits.
-bool listener::acceptNext() {
+bool listener::acceptNext(time_point Since) {
   try {
     if (!Socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
       return false;
-    caller_connection::open(Loop, Socket.acceptConnection(), Context);
+    caller_connection::open(Loop, Socket.acceptConnection(), Since, Context);
     return true;
   } catch (const Poco::Exception &Failure) {
     logLine(log_level::Warning, "accept-failed",
@@ -72,7 +77,8 @@
   if (!Accepts)
     return;
   // The system resets connections that are not accepted before the close.
-  for (int I = 0; I < Backlog && acceptNext(); ++I) {
+  const time_point Since = Loop.turnClock().eventsSince();
+  for (int I = 0; I < Backlog && acceptNext(Since); ++I) {
   }
   Accepts = false;
   Context->ReadsFollowing = false;
--- a/src/gateway/listener.h
+++ b/src/gateway/listener.h
@@ -7,6 +7,7 @@
 #include <Poco/Net/ServerSocket.h>
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -55,13 +56,15 @@
 private:
   listener(event_loop &Loop, serve Serve);
   void acceptReady();
-  bool acceptNext();
+  bool acceptNext(time_point Since);
 
   event_loop &Loop;
   Poco::Net::ServerSocket Socket;
   std::shared_ptr<caller_connection::context> Context;
   std::set<std::shared_ptr<caller_connection>> Open;
   bool Accepts = true;
+  /// Connections wait to be accepted, and none was made before.
+  std::optional<time_point> BacklogSince;
 };
 
 } // namespace agatedale
--- a/src/gateway/peer_connection.cpp
+++ b/src/gateway/peer_connection.cpp
@@ -39,7 +39,8 @@
   Connection->Bodies = std::move(Bodies);
   Connection->LastReceivedAt = bootNow();
   Connection->Stream =
-      tcp_stream::accept(Loop, Socket, Connection->streamHandlers());
+      tcp_stream::accept(Loop, Socket, Loop.turnClock().eventsSince(),
+                         Connection->streamHandlers());
   return Connection;
 }
 
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -148,24 +148,34 @@
   const platform::request_metadata Terms = platform::readMetadata(Message);
   const auto ActiveRequest = std::make_shared<active_request>();
   ActiveRequest->Exchange = Exchange;
-  ActiveRequest->ArrivedAt = Exchange->ReceivedAt;
+  ActiveRequest->ArrivedAt = Exchange->ArrivedAt;
   ActiveRequest->Service = RouteSplits[Route->Name].next(Route->Split);
   ActiveRequest->HomeRegions = Route->Homes;
   forward_request &Request = ActiveRequest->Request;
   Request.Id = Terms.Id;
-  Request.ArrivedAt = Exchange->ReceivedAt;
+  Request.ArrivedAt = Exchange->ArrivedAt;
   Request.Route = Route->Name;
+  // The caller waits since it began to send; the operators' times are those of
+  // a request that is whole.
+  const std::chrono::milliseconds Longest =
+      std::chrono::ceil<std::chrono::milliseconds>(Exchange->WholeAt -
+                                                   Exchange->ArrivedAt) +
+      Route->Timeout;
   Request.Deadline =
-      Exchange->ReceivedAt +
-      std::min(Terms.RemainingTimeout.value_or(Route->Timeout), Route->Timeout);
+      Exchange->ArrivedAt +
+      std::min(Terms.RemainingTimeout.value_or(Longest), Longest);
   if (Route->Aim.count() > 0)
-    Request.Aim = Exchange->ReceivedAt + Route->Aim;
+    Request.Aim = Exchange->WholeAt + Route->Aim;
   Request.Priority = Route->Priority;
   Request.Idempotent = Route->Idempotent;
   Request.MaxAttempts = Route->MaxAttempts;
   // Moved to avoid a second copy of the body; the exchange no longer uses it.
   Request.Message = std::move(Message);
   ActiveRequests.insert(ActiveRequest);
+  Request.IsWanted = [Weak = std::weak_ptr(Exchange)] {
+    const auto Waiting = Weak.lock();
+    return Waiting && !Waiting->hasCallerLeft();
+  };
   Exchange->OnDisconnected = [this, ActiveRequest](connection_end By) {
     onDisconnected(ActiveRequest, By);
   };
@@ -202,6 +212,13 @@
 
 void request_router::dispatch(const active_request_ptr &ActiveRequest) {
   const time_point Now = bootNow();
+  if (Now >= ActiveRequest->Request.Deadline) {
+    forward_response TooOld;
+    TooOld.Reason = refusal_reason::DeadlinePassed;
+    TooOld.Verdict = ActiveRequest->CombinedVerdict;
+    complete(ActiveRequest, std::move(TooOld));
+    return;
+  }
   std::uniform_real_distribution<double> Draw(0, 1);
   const auto Group =
       Selector.choose(candidates(*ActiveRequest), Now, nullptr, Draw(Random));
--- a/src/gateway/server_pool.h
+++ b/src/gateway/server_pool.h
@@ -44,7 +44,7 @@
 
   send_action Order;
   std::string RequestId;
-  time_point RequestDeadline; ///< The request is not sent again afterwards.
+  time_point RequestDeadline;   ///< The request is not sent again afterwards.
   http_request_message Message; ///< Until it is sent.
   /// Returns false if nobody waits for the answer any more; may be empty.
   std::function<bool()> IsWanted;
--- a/src/gateway/tcp_stream.cpp
+++ b/src/gateway/tcp_stream.cpp
@@ -7,6 +7,7 @@
 #include <Poco/Net/NetException.h>
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 
 #include <algorithm>
@@ -64,9 +65,10 @@
 
 std::shared_ptr<tcp_stream>
 tcp_stream::accept(event_loop &Loop, const Poco::Net::StreamSocket &Peer,
-                   handlers Handlers) {
+                   time_point UnreadSince, handlers Handlers) {
   std::shared_ptr<tcp_stream> Stream(new tcp_stream(Loop, std::move(Handlers)));
   Stream->Socket = Peer;
+  Stream->noteUnread(UnreadSince);
   configure(Stream->Socket);
   Stream->start(true);
   return Stream;
@@ -140,6 +142,7 @@
 
 void tcp_stream::onReadable() {
   const std::shared_ptr<tcp_stream> Self = shared_from_this();
+  const time_point Since = bytesSince();
   std::array<char, ReadBytes> Buffer; // NOLINT: filled by receiveBytes
   for (int I = 0; I < MaxReadsInRow && !Closed && !Paused; ++I) {
     int Count = 0;
@@ -150,20 +153,73 @@
         end(stream_end::Reset);
       return;
     }
-    if (Count < 0)
+    if (Count < 0) {
+      UnreadSince.reset();
       return;
+    }
     if (Count == 0) {
       // A failed send consumes the socket's error, so that a reset connection
       // reads like one that was closed in an orderly way.
       end(SendFailed ? stream_end::Reset : stream_end::ClosedByPeer);
       return;
     }
+    noteArrival(Since);
+    const bool IsAllRead = static_cast<std::size_t>(Count) < Buffer.size();
+    if (IsAllRead)
+      UnreadSince.reset();
+    else
+      noteUnread(Since);
     Handlers.Received({Buffer.data(), static_cast<std::size_t>(Count)});
-    if (static_cast<std::size_t>(Count) < Buffer.size())
+    if (IsAllRead)
       return;
   }
 }
 
+/// Returns a time before which none of the bytes arrived that are read now.
+time_point tcp_stream::bytesSince() const {
+  const turn_clock &Clock = Loop.turnClock();
+  const bool HaveWaited = UnreadSince && Clock.turns() <= UnreadTurn + 1;
+  return HaveWaited ? std::min(*UnreadSince, Clock.eventsSince())
+                    : Clock.eventsSince();
+}
+
+void tcp_stream::noteUnread(time_point Since) {
+  UnreadSince = Since;
+  UnreadTurn = Loop.turnClock().turns();
+}
+
+/// Notes when the bytes arrived that were just read.
+void tcp_stream::noteArrival(time_point Since) {
+  const time_point Now = bootNow();
+  const bool IsLate = Now - Since > turn_clock::LateAfter;
+  ArrivedAt =
+      estimateArrival(Since, Now, IsLate ? ageOfLastBytes() : std::nullopt);
+}
+
+std::optional<duration> tcp_stream::ageOfLastBytes() const {
+  tcp_info Info{};
+  socklen_t Length = sizeof(Info);
+  const bool IsKnown = ::getsockopt(Socket.impl()->sockfd(), IPPROTO_TCP,
+                                    TCP_INFO, &Info, &Length) == 0 &&
+                       Info.tcpi_state != 0;
+  if (!IsKnown)
+    return std::nullopt;
+  return std::chrono::milliseconds(Info.tcpi_last_data_recv);
+}
+
+bool tcp_stream::hasPeerClosed() const {
+  if (Closed)
+    return true;
+  pollfd Poll{Socket.impl()->sockfd(), POLLIN | POLLRDHUP, 0};
+  if (::poll(&Poll, 1, 0) <= 0)
+    return false;
+  if (Poll.revents & (POLLRDHUP | POLLHUP | POLLERR))
+    return true;
+  char Next = 0;
+  return (Poll.revents & POLLIN) &&
+         ::recv(Poll.fd, &Next, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void tcp_stream::readNow() {
   const std::shared_ptr<tcp_stream> Self = shared_from_this();
   if (Connected && !Closed)
@@ -265,6 +321,10 @@
 }
 
 void tcp_stream::pauseReading(bool Pause) {
+  if (Pause && !Paused && !UnreadSince)
+    UnreadSince = bootNow();
+  else if (!Pause && Paused && UnreadSince)
+    noteUnread(*UnreadSince);
   Paused = Pause;
   updateModes();
 }
--- a/src/gateway/tcp_stream.h
+++ b/src/gateway/tcp_stream.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -38,8 +39,11 @@
   static std::shared_ptr<tcp_stream>
   connect(event_loop &Loop, const Poco::Net::SocketAddress &Address,
           handlers Handlers);
+  /// Takes over an accepted connection, whose first bytes did not arrive before
+  /// \p UnreadSince.
   static std::shared_ptr<tcp_stream> accept(event_loop &Loop,
                                             const Poco::Net::StreamSocket &Peer,
+                                            time_point UnreadSince,
                                             handlers Handlers);
   ~tcp_stream();
 
@@ -74,6 +78,13 @@
   /// Returns the number of received bytes that wait in the socket.
   std::size_t unreadBytes() const;
 
+  /// Returns when the bytes that were read last arrived, as far as is known.
+  time_point arrivedAt() const { return ArrivedAt; }
+
+  /// Looks whether the peer has closed the connection, also behind bytes that
+  /// are not read yet.
+  bool hasPeerClosed() const;
+
   /// Returns the number of bytes that the socket has accepted.
   std::uint64_t bytesSent() const { return BytesSent; }
 
@@ -86,6 +97,10 @@
   void onReady(int Modes);
   void onConnected();
   void onReadable();
+  time_point bytesSince() const;
+  void noteUnread(time_point Since);
+  void noteArrival(time_point Since);
+  std::optional<duration> ageOfLastBytes() const;
   void flush();
   std::size_t sendUnsent();
   void onSendFailed();
@@ -105,6 +120,12 @@
   bool SendShutdownDone = false;
   bool SendFailed = false;
   int Modes = 0;
+  time_point ArrivedAt{};
+  /// None of the bytes that wait in the socket arrived before.
+  std::optional<time_point> UnreadSince;
+  /// Turn of the loop in which UnreadSince was noted. Bytes that wait are read
+  /// in the next one.
+  std::uint64_t UnreadTurn = 0;
 };
 
 } // namespace agatedale
