Events of a late turn are told from new ones on a busy machine

The log shows a loop delay of 951 ms, but ages of 1 to 3 ms for requests read right after it.

Cause: turn_clock took a wait of over 1 ms for one that had waited for an event. A process that is interrupted for a moment in a wait that finds events ready looks the same.

--- a/include/agatedale/turn_clock.h
+++ b/include/agatedale/turn_clock.h
@@ -24,18 +24,21 @@
   /// Events that may have waited for longer than this are late.
   static constexpr duration LateAfter = std::chrono::milliseconds(50);
 
-  /// Called before the loop waits for events for at most \p NewTimeout.
-  void beforeWait(time_point Now, duration NewTimeout) {
-    WaitBegan = Now;
-    Timeout = NewTimeout;
+  /// Called before the loop waits for events for at most \p MaxWait. Returns
+  /// for how long it waits: not at all after a late turn, so that events which
+  /// are ready are known to be as old as the turn may be long.
+  duration beforeWait(time_point Now, duration MaxWait) {
     if (TurnBegan == time_point{})
       TurnBegan = Now;
+    WaitBegan = Now;
+    Timeout = Now - TurnBegan > LateAfter ? duration::zero() : MaxWait;
+    return Timeout;
   }
 
   /// Called when the wait has ended.
   void afterWait(time_point Now) {
     const duration Waited = Now - WaitBegan;
-    if (Waited < ShortestWait)
+    if (Timeout == duration::zero() || Waited < ShortestWait)
       Since = TurnBegan; // Events were ready before the wait.
     else if (Waited > Timeout + WakeUpTime)
       Since = WaitBegan; // The process was held up.
--- a/src/gateway/event_loop.cpp
+++ b/src/gateway/event_loop.cpp
@@ -142,9 +142,10 @@
 
 Poco::Net::PollSet::SocketModeMap event_loop::waitForEvents() {
   const time_point Now = bootNow();
-  const Poco::Timespan Timeout = untilNextTimer(Now);
-  Clock.beforeWait(Now, std::chrono::microseconds(Timeout.totalMicroseconds()));
-  Poco::Net::PollSet::SocketModeMap Ready = Sockets.poll(Timeout);
+  const duration Wait = Clock.beforeWait(
+      Now, std::chrono::microseconds(untilNextTimer(Now).totalMicroseconds()));
+  Poco::Net::PollSet::SocketModeMap Ready =
+      Sockets.poll(Poco::Timespan(toMicros(Wait)));
   Clock.afterWait(bootNow());
   return Ready;
 }
--- a/tests/unit/turn_clock_test.cpp
+++ b/tests/unit/turn_clock_test.cpp
@@ -39,6 +39,16 @@
   BOOST_TEST(Clock.isLate(at(400)));
 }
 
+// Guards against events of a late turn that count as new because the process
+// was interrupted for a moment in the wait.
+BOOST_AUTO_TEST_CASE(LateTurnIsFollowedByALookWithoutWaiting) {
+  turn_clock Clock = afterTurn(1);
+  Clock.afterWait(at(5));
+  BOOST_TEST((Clock.beforeWait(at(400), milliseconds(20)) == milliseconds(0)));
+  Clock.afterWait(at(410));
+  BOOST_TEST((Clock.eventsSince() == at(5)));
+}
+
 BOOST_AUTO_TEST_CASE(EventAfterAWaitBeyondItsTimeoutMayBeFromItsStart) {
   turn_clock Clock = afterTurn(1);
   Clock.afterWait(at(1100));
