The time between VMs counts, and cancelled requests are not served

Cause: the times left were taken when a Forward was made and counted anew when it was decoded. Buffers, links, kernels and late loops in between were free. Frames were handed over one by one, a request before its cancellation behind it.

Fix: - The times left are counted from the making of the message, by transit_clock and the kernel's age of the bytes. A request whose deadline has passed under way is refused at once as not run. - peer_connection reads what has arrived, in a late turn to the last byte, and looks at the frames as a whole (frame_batch). A request whose cancellation is there too, or whose connection has ended, is not served. - In a late turn the connection is looked at once more before the request is sent to a server. - Small messages wait in a queue as the large ones do, so that a cancelled request that was not sent yet is dropped. Earlier builds send no time of making: their requests count as before.

--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -220,9 +220,9 @@
   Handlers.OnHeartbeat = [this](const auto &Message) {
     return onHeartbeat(Message);
   };
-  Handlers.OnForward = [this](const auto &Message, duration UnderWay,
+  Handlers.OnForward = [this](const auto &Message, const auto &Arrival,
                               auto Done) {
-    return Router->serveForPeer(Message, UnderWay, std::move(Done));
+    return Router->serveForPeer(Message, Arrival, std::move(Done));
   };
   Handlers.OnCancel = [this](forward_ticket Ticket) {
     Router->cancelForPeer(Ticket);
--- a/src/gateway/peer_connection.cpp
+++ b/src/gateway/peer_connection.cpp
@@ -13,7 +13,7 @@
                          const Poco::Net::SocketAddress &Address,
                          handlers Handlers) {
   std::shared_ptr<peer_connection> Connection(
-      new peer_connection(std::move(Handlers)));
+      new peer_connection(Loop, std::move(Handlers)));
   Connection->PrefaceReceived = true; // Only the connecting side sends one.
   tcp_stream::handlers StreamHandlers = Connection->streamHandlers();
   const std::weak_ptr<peer_connection> Weak = Connection;
@@ -35,7 +35,7 @@
                         std::shared_ptr<body_budget> Bodies,
                         handlers Handlers) {
   std::shared_ptr<peer_connection> Connection(
-      new peer_connection(std::move(Handlers)));
+      new peer_connection(Loop, std::move(Handlers)));
   Connection->Bodies = std::move(Bodies);
   Connection->LastReceivedAt = bootNow();
   Connection->Stream =
@@ -51,9 +51,13 @@
     if (const auto Self = Weak.lock())
       Self->onReceived(Bytes);
   };
+  StreamHandlers.ReadDone = [Weak] {
+    if (const auto Self = Weak.lock())
+      Self->handleFrames(false);
+  };
   StreamHandlers.Ended = [Weak](stream_end) {
     if (const auto Self = Weak.lock())
-      Self->Handlers.Ended();
+      Self->onEnded();
   };
   StreamHandlers.Flushed = [Weak] {
     if (const auto Self = Weak.lock())
@@ -64,11 +68,8 @@
 
 void peer_connection::send(peer_message_kind Kind, std::uint64_t Call,
                            std::string Message) {
-  if (Message.size() <= MaxFramePayload)
-    appendFrame(Small, {Kind, Call, static_cast<std::uint32_t>(Message.size()),
-                        Message});
-  else
-    Large.push_back({Kind, Call, std::move(Message)});
+  auto &Queue = Message.size() <= MaxFramePayload ? Small : Large;
+  Queue.push_back({Kind, Call, std::move(Message)});
   sendQueued();
 }
 
@@ -79,20 +80,7 @@
   IsSending = true;
   const auto Self = shared_from_this();
   while (!Stream->isClosed() && !Stream->hasUnsent()) {
-    std::string Bytes = std::exchange(Small, {});
-    if (Bytes.empty() && !Large.empty()) {
-      outgoing_message Message = std::move(Large.front());
-      Large.pop_front();
-      const std::string_view Part =
-          std::string_view(Message.Bytes)
-              .substr(Message.SentBytes, MaxFramePayload);
-      appendFrame(Bytes,
-                  {Message.Kind, Message.Call,
-                   static_cast<std::uint32_t>(Message.Bytes.size()), Part});
-      Message.SentBytes += Part.size();
-      if (Message.SentBytes < Message.Bytes.size())
-        Large.push_back(std::move(Message));
-    }
+    const std::string Bytes = Small.empty() ? takeLargeFrame() : takeSmall();
     if (Bytes.empty())
       break;
     Stream->send(Bytes);
@@ -100,25 +88,51 @@
   IsSending = false;
 }
 
-std::deque<peer_connection::outgoing_message>::const_iterator
-peer_connection::findUnsent(peer_message_kind Kind, std::uint64_t Call) const {
-  return std::find_if(Large.begin(), Large.end(),
-                      [Kind, Call](const outgoing_message &Message) {
-                        return Message.Kind == Kind && Message.Call == Call;
-                      });
+/// Takes small messages out of their queue. Those that stay can still be
+/// dropped.
+std::string peer_connection::takeSmall() {
+  std::string Bytes;
+  while (!Small.empty() && Bytes.size() < MaxFramePayload) {
+    const outgoing_message &Message = Small.front();
+    appendFrame(Bytes, {Message.Kind, Message.Call,
+                        static_cast<std::uint32_t>(Message.Bytes.size()),
+                        Message.Bytes});
+    Small.pop_front();
+  }
+  return Bytes;
+}
+
+/// Takes the next frame of the large messages, which are sent in turn.
+std::string peer_connection::takeLargeFrame() {
+  std::string Bytes;
+  if (Large.empty())
+    return Bytes;
+  outgoing_message Message = std::move(Large.front());
+  Large.pop_front();
+  const std::string_view Part = std::string_view(Message.Bytes)
+                                    .substr(Message.SentBytes, MaxFramePayload);
+  appendFrame(Bytes, {Message.Kind, Message.Call,
+                      static_cast<std::uint32_t>(Message.Bytes.size()), Part});
+  Message.SentBytes += Part.size();
+  if (Message.SentBytes < Message.Bytes.size())
+    Large.push_back(std::move(Message));
+  return Bytes;
 }
 
 bool peer_connection::isUnsent(peer_message_kind Kind,
                                std::uint64_t Call) const {
-  return findUnsent(Kind, Call) != Large.end();
+  const auto IsThis = [Kind, Call](const outgoing_message &Message) {
+    return Message.Kind == Kind && Message.Call == Call;
+  };
+  return std::any_of(Small.begin(), Small.end(), IsThis) ||
+         std::any_of(Large.begin(), Large.end(), IsThis);
 }
 
 bool peer_connection::dropUnsent(peer_message_kind Kind, std::uint64_t Call) {
-  const auto Found = findUnsent(Kind, Call);
-  if (Found == Large.end())
-    return false;
-  Large.erase(Found);
-  return true;
+  const auto IsThis = [Kind, Call](const outgoing_message &Message) {
+    return Message.Kind == Kind && Message.Call == Call;
+  };
+  return std::erase_if(Small, IsThis) + std::erase_if(Large, IsThis) > 0;
 }
 
 void peer_connection::close() { Stream->close(); }
@@ -140,26 +154,53 @@
 }
 
 void peer_connection::onReceived(std::string_view Bytes) {
-  const auto Self = shared_from_this();
   LastReceivedAt = bootNow();
   Buffer.append(Bytes);
+}
+
+void peer_connection::onEnded() {
+  const auto Self = shared_from_this();
+  handleFrames(true);
+  Handlers.Ended();
+}
+
+void peer_connection::handleFrames(bool IsEnding) {
+  const auto Self = shared_from_this();
   if (!readPreface())
     return;
-  std::size_t Used = 0;
-  while (!Stream->isClosed()) {
-    std::size_t Length = 0;
-    const auto Read = readFrame(std::string_view(Buffer).substr(Used), Length);
-    if (const error *Error = std::get_if<error>(&Read)) {
-      fail(Error->Message);
+  // The frames refer to this copy: handlers may read on into the buffer.
+  const std::string Bytes = std::exchange(Buffer, {});
+  result<frame_batch> Read = frame_batch::read(Bytes);
+  if (const error *Error = errorOf(Read)) {
+    fail(Error->Message);
+    return;
+  }
+  const frame_batch &Batch = valueOf(Read);
+  Buffer = Bytes.substr(Batch.length());
+  for (const peer_frame &Frame : Batch.frames()) {
+    const bool IsRequest = Frame.Kind == peer_message_kind::Forward ||
+                           Frame.Kind == peer_message_kind::Heartbeat;
+    if (IsRequest && (IsEnding || Batch.isCancelled(Frame.Call)))
+      continue;
+    if (Stream->isClosed() && !IsEnding)
       return;
-    }
-    const auto *Frame = std::get_if<peer_frame>(&Read);
-    if (!Frame)
-      break;
-    Used += Length;
-    onFrame(*Frame);
+    onFrame(Frame);
   }
-  Buffer.erase(0, Used);
+}
+
+bool peer_connection::hasCancelled(std::uint64_t Call) {
+  if (Stream->hasPeerClosed())
+    return true;
+  const std::size_t BytesBefore = Buffer.size();
+  Stream->readAhead();
+  if (Buffer.size() > BytesBefore)
+    Loop.post([Weak = weak_from_this()] {
+      const auto Self = Weak.lock();
+      if (Self && !Self->isClosed())
+        Self->handleFrames(false);
+    });
+  const result<frame_batch> Read = frame_batch::read(Buffer);
+  return errorOf(Read) == nullptr && valueOf(Read).isCancelled(Call);
 }
 
 void peer_connection::onFrame(const peer_frame &Frame) {
--- a/src/gateway/peer_connection.h
+++ b/src/gateway/peer_connection.h
@@ -17,7 +17,9 @@
 
 /// Sends and receives messages on one TCP connection. Small messages overtake
 /// large ones, which are sent in frames in turn, so that an upload does not
-/// delay heartbeats and small requests on a slow link.
+/// delay heartbeats and small requests on a slow link. What has arrived is
+/// looked at as a whole before any of it is handled, so that a request is not
+/// served if its cancellation has arrived as well.
 ///
 ///   auto Connection = peer_connection::connect(Loop, Address, Handlers);
 ///   Connection->send(peer_message_kind::Forward, Call, Bytes);
@@ -43,6 +45,10 @@
   /// Queues a message. Must be called only after the connection is established.
   void send(peer_message_kind Kind, std::uint64_t Call, std::string Message);
 
+  /// Looks whether the peer has cancelled a request or closed the connection,
+  /// also in what was not handled yet.
+  bool hasCancelled(std::uint64_t Call);
+
   /// Drops the rest of a message that is not sent as a whole yet. Returns false
   /// if there is none, that is, if the peer may have the whole message.
   bool dropUnsent(peer_message_kind Kind, std::uint64_t Call);
@@ -55,12 +61,14 @@
   bool isClosed() const { return Stream->isClosed(); }
   /// Returns true if the peer's system has not confirmed all bytes.
   bool hasUndelivered() const {
-    return !Large.empty() || Stream->hasUndelivered();
+    return !Small.empty() || !Large.empty() || Stream->hasUndelivered();
   }
 
   /// Handles what has arrived.
   void readNow() { Stream->readNow(); }
   time_point lastReceivedAt() const { return LastReceivedAt; }
+  /// Returns when the last bytes arrived, as far as is known.
+  time_point arrivedAt() const { return Stream->arrivedAt(); }
 
 private:
   struct outgoing_message {
@@ -79,25 +87,30 @@
 
   using message_id = std::pair<peer_message_kind, std::uint64_t>;
 
-  explicit peer_connection(handlers Handlers) : Handlers(std::move(Handlers)) {}
+  peer_connection(event_loop &Loop, handlers Handlers)
+      : Loop(Loop), Handlers(std::move(Handlers)) {}
 
   tcp_stream::handlers streamHandlers();
   void onReceived(std::string_view Bytes);
+  void onEnded();
   bool readPreface();
+  /// Handles the frames in the buffer; requests are not served if \p IsEnding.
+  void handleFrames(bool IsEnding);
   void onFrame(const peer_frame &Frame);
   void onPart(const peer_frame &Frame);
   void beginMessage(incoming_message &Message, const peer_frame &Frame);
   void sendQueued();
-  std::deque<outgoing_message>::const_iterator
-  findUnsent(peer_message_kind Kind, std::uint64_t Call) const;
+  std::string takeSmall();
+  std::string takeLargeFrame();
   void fail(const std::string &Why);
 
+  event_loop &Loop;
   handlers Handlers;
   std::shared_ptr<tcp_stream> Stream;
   std::shared_ptr<body_budget> Bodies; ///< No limit if null.
   std::string Buffer;
   bool PrefaceReceived = false;
-  std::string Small; ///< Encoded small messages that wait for the socket.
+  std::deque<outgoing_message> Small; ///< Each fits into one frame.
   std::deque<outgoing_message> Large;
   std::map<message_id, incoming_message> Incoming;
   bool IsSending = false;
--- a/src/gateway/peer_frames.cpp
+++ b/src/gateway/peer_frames.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace agatedale {
 
 namespace {
@@ -65,4 +67,26 @@
   return Frame;
 }
 
+result<frame_batch> frame_batch::read(std::string_view Bytes) {
+  frame_batch Batch;
+  while (true) {
+    std::size_t Length = 0;
+    const auto Read = readFrame(Bytes.substr(Batch.Length), Length);
+    if (const error *Error = std::get_if<error>(&Read))
+      return *Error;
+    const auto *Frame = std::get_if<peer_frame>(&Read);
+    if (!Frame)
+      return Batch;
+    Batch.Frames.push_back(*Frame);
+    if (Frame->Kind == peer_message_kind::Cancel)
+      Batch.CancelledCalls.push_back(Frame->Call);
+    Batch.Length += Length;
+  }
+}
+
+bool frame_batch::isCancelled(std::uint64_t Call) const {
+  return std::find(CancelledCalls.begin(), CancelledCalls.end(), Call) !=
+         CancelledCalls.end();
+}
+
 } // namespace agatedale
--- a/src/gateway/peer_frames.h
+++ b/src/gateway/peer_frames.h
@@ -6,9 +6,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace agatedale {
 
@@ -53,4 +55,27 @@
 std::variant<peer_frame, incomplete_frame, error>
 readFrame(std::string_view Bytes, std::size_t &Length);
 
+/// The whole frames at the start of a buffer.
+///
+///   result<frame_batch> Batch = frame_batch::read(Buffer);
+///   for (const peer_frame &Frame : valueOf(Batch).frames()) ...
+class frame_batch {
+public:
+  /// Reads all whole frames of \p Bytes, to which their payloads refer.
+  static result<frame_batch> read(std::string_view Bytes);
+
+  std::span<const peer_frame> frames() const { return Frames; }
+
+  /// Returns the encoded length of the frames.
+  std::size_t length() const { return Length; }
+
+  /// Returns true if a frame cancels \p Call.
+  bool isCancelled(std::uint64_t Call) const;
+
+private:
+  std::vector<peer_frame> Frames;
+  std::vector<std::uint64_t> CancelledCalls;
+  std::size_t Length = 0;
+};
+
 } // namespace agatedale
--- a/src/gateway/peer_transport.cpp
+++ b/src/gateway/peer_transport.cpp
@@ -547,8 +547,16 @@
   }
   const auto Answered = std::make_shared<bool>(false);
   const std::weak_ptr<incoming_peer> WeakFrom = From;
+  forward_arrival Arrival;
+  // The first messages of a connection may all have waited here.
+  Arrival.UnderWay = std::max(timeUnderWay(From->Transit, Request.made_at_us()),
+                              bootNow() - From->Connection->arrivedAt());
+  Arrival.IsWanted = [WeakFrom, Call] {
+    const auto Sender = WeakFrom.lock();
+    return Sender && !Sender->Connection->hasCancelled(Call);
+  };
   const forward_ticket Ticket = Handlers.OnForward(
-      Request, timeUnderWay(From->Transit, Request.made_at_us()),
+      Request, Arrival,
       [WeakFrom, Call, Answered](const wire_gateway::Forwarded &Reply) {
         *Answered = true;
         const auto Sender = WeakFrom.lock();
--- a/src/gateway/peer_transport.h
+++ b/src/gateway/peer_transport.h
@@ -32,6 +32,13 @@
   NoReply  ///< The peer may have received the request.
 };
 
+/// What is known of a request from a peer besides its message.
+struct forward_arrival {
+  duration UnderWay{}; ///< From the making of the message until now.
+  /// Looks whether the peer has cancelled the request. Returns false if so.
+  std::function<bool()> IsWanted;
+};
+
 /// Serves calls from peers and calls peers over TCP connections of the event
 /// loop. Each gateway keeps one connection to every peer that it calls; all
 /// calls share it. The connection to a VM that is no longer listed, or that has
@@ -44,10 +51,9 @@
   struct handlers {
     std::function<wire_gateway::Heartbeat(const wire_gateway::Heartbeat &)>
         OnHeartbeat;
-    /// Called with the time that the request was under way. Returns a ticket
-    /// for cancelling it.
+    /// Returns a ticket for cancelling the request.
     std::function<forward_ticket(const wire_gateway::Forward &,
-                                 duration UnderWay,
+                                 const forward_arrival &,
                                  std::function<void(wire_gateway::Forwarded)>)>
         OnForward;
     std::function<void(forward_ticket)> OnCancel;
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -423,7 +423,7 @@
 }
 
 forward_ticket request_router::serveForPeer(
-    const wire_gateway::Forward &Message, duration UnderWay,
+    const wire_gateway::Forward &Message, const forward_arrival &Arrival,
     const std::function<void(wire_gateway::Forwarded)> &Done) {
   const forward_ticket Ticket = ++LastPeerTicket;
   const time_point Now = bootNow();
@@ -434,7 +434,7 @@
     Done(toMessage(Refused));
     return Ticket;
   }
-  result<forward_request> Read = fromMessage(Message, Now);
+  result<forward_request> Read = fromMessage(Message, Now - Arrival.UnderWay);
   if (const error *Error = errorOf(Read)) {
     logLine(log_level::Error, "peer-message-refused",
             {{"why", Error->Message}});
@@ -444,7 +444,14 @@
     return Ticket;
   }
   forward_request Request = moveValue(std::move(Read));
-  Metrics.record("agatedale_peer_transit_seconds", {}, UnderWay);
+  Request.IsWanted = Arrival.IsWanted;
+  Metrics.record("agatedale_peer_transit_seconds", {}, Arrival.UnderWay);
+  if (Now >= Request.Deadline) {
+    forward_response Refused;
+    Refused.Reason = refusal_reason::DeadlinePassed;
+    Done(toMessage(Refused));
+    return Ticket;
+  }
   const auto Share = std::make_shared<body_reservation>(Bodies);
   if (!Share->resize(Request.Message.Body.size())) {
     forward_response Refused;
--- a/src/gateway/request_router.h
+++ b/src/gateway/request_router.h
@@ -55,10 +55,11 @@
   /// Serves a caller's request.
   void serve(const std::shared_ptr<caller_exchange> &Exchange);
 
-  /// Serves a request that a peer forwarded and that was \p UnderWay for a
-  /// time. Returns the ticket for cancelForPeer().
+  /// Serves a request that a peer forwarded. Returns the ticket for
+  /// cancelForPeer().
   forward_ticket
-  serveForPeer(const wire_gateway::Forward &Message, duration UnderWay,
+  serveForPeer(const wire_gateway::Forward &Message,
+               const forward_arrival &Arrival,
                const std::function<void(wire_gateway::Forwarded)> &Done);
   void cancelForPeer(forward_ticket Ticket);
 
--- a/src/gateway/tcp_stream.cpp
+++ b/src/gateway/tcp_stream.cpp
@@ -142,27 +142,41 @@
 
 void tcp_stream::onReadable() {
   const std::shared_ptr<tcp_stream> Self = shared_from_this();
+  if (const std::optional<stream_end> End = readAvailable())
+    end(*End);
+  else if (!Closed && Handlers.ReadDone)
+    Handlers.ReadDone();
+}
+
+void tcp_stream::readAhead() {
+  const std::shared_ptr<tcp_stream> Self = shared_from_this();
+  if (Connected && !Closed)
+    runGuarded([this] { readAvailable(); });
+}
+
+/// Hands over what has arrived. Returns the end of the stream if it is reached.
+std::optional<stream_end> tcp_stream::readAvailable() {
   const time_point Since = bytesSince();
+  // Others may have cancelled or ended in a late turn what they sent before, so
+  // that it is read to the last byte.
+  const bool ReadsToLast = Loop.turnClock().isLate(bootNow());
   std::array<char, ReadBytes> Buffer; // NOLINT: filled by receiveBytes
   for (int I = 0; I < MaxReadsInRow && !Closed && !Paused; ++I) {
     int Count = 0;
     try {
       Count = Socket.receiveBytes(Buffer.data(), Buffer.size());
     } catch (const Poco::Exception &Failure) {
-      if (!isTemporary(Failure))
-        end(stream_end::Reset);
-      return;
+      return isTemporary(Failure) ? std::nullopt
+                                  : std::optional(stream_end::Reset);
     }
     if (Count < 0) {
       UnreadSince.reset();
-      return;
-    }
-    if (Count == 0) {
-      // A failed send consumes the socket's error, so that a reset connection
-      // reads like one that was closed in an orderly way.
-      end(SendFailed ? stream_end::Reset : stream_end::ClosedByPeer);
-      return;
+      return std::nullopt;
     }
+    // A failed send consumes the socket's error, so that a reset connection
+    // reads like one that was closed in an orderly way.
+    if (Count == 0)
+      return SendFailed ? stream_end::Reset : stream_end::ClosedByPeer;
     noteArrival(Since);
     const bool IsAllRead = static_cast<std::size_t>(Count) < Buffer.size();
     if (IsAllRead)
@@ -170,9 +184,10 @@
     else
       noteUnread(Since);
     Handlers.Received({Buffer.data(), static_cast<std::size_t>(Count)});
-    if (IsAllRead)
-      return;
+    if (IsAllRead && !ReadsToLast)
+      return std::nullopt;
   }
+  return std::nullopt;
 }
 
 /// Returns a time before which none of the bytes arrived that are read now.
--- a/src/gateway/tcp_stream.h
+++ b/src/gateway/tcp_stream.h
@@ -32,6 +32,8 @@
   struct handlers {
     std::function<void()> Connected;
     std::function<void(std::string_view Bytes)> Received;
+    /// All that has arrived for now was handed over, and the stream goes on.
+    std::function<void()> ReadDone;
     std::function<void(stream_end End)> Ended;
     std::function<void()> Flushed; ///< The socket has accepted all data.
   };
@@ -52,6 +54,10 @@
   /// Reads what has arrived, without waiting for the event loop's next turn.
   void readNow();
 
+  /// Hands over what has arrived. An end of the stream that is found is left
+  /// for the event loop, and ReadDone is not called.
+  void readAhead();
+
   /// Pauses or resumes reading, to apply backpressure to the peer.
   void pauseReading(bool Pause);
 
@@ -97,6 +103,7 @@
   void onReady(int Modes);
   void onConnected();
   void onReadable();
+  std::optional<stream_end> readAvailable();
   time_point bytesSince() const;
   void noteUnread(time_point Since);
   void noteArrival(time_point Since);
--- a/tests/unit/peer_transport_test.cpp
+++ b/tests/unit/peer_transport_test.cpp
@@ -55,8 +55,8 @@
       return Message;
     };
     Handlers.OnForward = [this](const wire_gateway::Forward &Message,
-                                duration UnderWay, reply Done) {
-      LastUnderWay = UnderWay;
+                                const forward_arrival &Arrival, reply Done) {
+      LastUnderWay = Arrival.UnderWay;
       ++Requests;
       LastBodyBytes = Message.body().size();
       if (KeepsBack) {
@@ -496,7 +496,7 @@
   std::promise<transport_pair::reply> Arrived;
   peer_transport::handlers Handlers;
   Handlers.OnHeartbeat = [](const auto &Message) { return Message; };
-  Handlers.OnForward = [&Arrived](const auto &, duration, auto Done) {
+  Handlers.OnForward = [&Arrived](const auto &, const auto &, auto Done) {
     Arrived.set_value(std::move(Done));
     return forward_ticket(1);
   };
@@ -543,6 +543,34 @@
   CallerThread.join();
 }
 
+// Guards against a late owner that serves a request before it sees that the
+// request was cancelled.
+BOOST_AUTO_TEST_CASE(RequestIsNotServedIfItsCancellationHasArrivedToo) {
+  transport_pair Test;
+  Test.connect();
+  Test.runUntil([&] { return Test.Owner->hasDeliveredAllReplies(); });
+  // Both messages are sent before the owner reads.
+  Test.forward(requestOf(10))();
+  Test.forward(requestOf(10));
+  BOOST_TEST(Test.runUntil([&] { return Test.Finished == 2; }));
+  BOOST_TEST(Test.Requests == 1);
+}
+
+// Guards against a request that is given the time under way once more.
+BOOST_AUTO_TEST_CASE(TimeUnderWayIsMeasured) {
+  transport_pair Test;
+  Test.connect();
+  Test.forward(requestOf(10));
+  BOOST_TEST(Test.runUntil([&] { return Test.Finished == 1; }));
+  BOOST_TEST((Test.LastUnderWay < milliseconds(50)));
+  wire_gateway::Forward Delayed = requestOf(10);
+  Delayed.set_made_at_us(static_cast<std::uint64_t>(
+      toMicros((bootNow() - milliseconds(587)).time_since_epoch())));
+  Test.forward(Delayed);
+  BOOST_TEST(Test.runUntil([&] { return Test.Finished == 2; }));
+  BOOST_TEST((Test.LastUnderWay > milliseconds(500)));
+}
+
 BOOST_AUTO_TEST_CASE(BytesOfAnotherProtocolCloseTheConnection) {
   transport_pair Test;
   for (const std::string &Bytes :
