A response without end does not cost the responses of others

What callers saw (report of other operators; tried here): a server that sends a body without end fills the memory for responses that are being received. The process does not end, but a sound response that grew last was dropped, and its request failed.

Cause: whoever exceeds the budget is dropped, not who uses it up. The parser's buffer grows by doubling, which was not counted. The answer to a load query could take as much as a response.

Fix: the response that takes the most memory gives way. The capacity of the buffer counts. Answers to load queries are limited to 64 KiB of body.

Heads, header lines, chunk extensions, interim answers and answers without end were bounded before (server_faults_test). Not covered: replies from peers and the store.

--- a/include/agatedale/body_budget.h
+++ b/include/agatedale/body_budget.h
@@ -58,6 +58,8 @@
     return true;
   }
 
+  std::size_t bytes() const { return Bytes; }
+
 private:
   std::shared_ptr<body_budget> Budget;
   std::size_t Bytes = 0;
--- a/src/gateway/http_codec.cpp
+++ b/src/gateway/http_codec.cpp
@@ -237,6 +237,10 @@
   return Parser->Parse.get().body().size();
 }
 
+std::size_t response_decoder::heldBytes() const {
+  return Parser->Parse.get().body().capacity();
+}
+
 bool response_decoder::keepsAlive() const { return Parser->Parse.keep_alive(); }
 
 std::optional<std::chrono::seconds> response_decoder::idleTimeout() const {
--- a/src/gateway/http_codec.h
+++ b/src/gateway/http_codec.h
@@ -87,6 +87,9 @@
 
   /// Returns the number of body bytes received so far.
   std::size_t bodyBytes() const;
+
+  /// Returns the memory that the body takes, which grows ahead of its bytes.
+  std::size_t heldBytes() const;
   bool keepsAlive() const;
 
   /// Returns the timeout of the Keep-Alive header, if there is one.
--- a/src/gateway/server_pool.cpp
+++ b/src/gateway/server_pool.cpp
@@ -19,6 +19,9 @@
 /// The largest response that is accepted from a server.
 constexpr message_limits ResponseLimits{64 * 1024, 32 << 20};
 
+/// The largest response to a load query.
+constexpr message_limits LoadProbeLimits{64 * 1024, 64 * 1024};
+
 /// Maximum number of answers to other requests before the connection is closed.
 constexpr int MaxMismatchedAnswers = 4;
 
@@ -68,6 +71,9 @@
   void onConnectTimeout();
   void failCall(attempt_outcome Outcome);
   bool isTooLarge();
+  void dropResponse();
+  void logDropped() const;
+  std::size_t reservedBytes() const { return Share.bytes(); }
   void onMismatchedAnswer();
   std::string_view reasonNotToSend(time_point Now) const;
   void finishUnsent(std::string_view Why);
@@ -193,6 +199,7 @@
   RetryAfter.reset();
   beginDecoding();
   Share = body_reservation(Pool.Bodies);
+  Pool.Receiving.insert(shared_from_this());
   const std::weak_ptr<server_connection> Weak = weak_from_this();
   Call->Timer =
       Pool.Loop.after(Call->Order.Deadline + ResponseGrace - Now, [Weak] {
@@ -208,9 +215,12 @@
 }
 
 void server_connection::close() {
+  const auto Self = shared_from_this();
   if (Call)
     Pool.Loop.cancel(Call->Timer);
   Call = nullptr;
+  Share = body_reservation();
+  Pool.Receiving.erase(Self);
   Stream->close();
 }
 
@@ -228,6 +238,8 @@
       failCall(attempt_outcome::ConnectionLost);
       return;
     }
+    if (!Call)
+      return;
     if (State == decode_state::NeedMore)
       return;
     onResponse();
@@ -236,16 +248,34 @@
   }
 }
 
-/// Returns true if the bodies that servers send exceed the memory for them.
+/// Returns true if the bodies that servers send exceed the memory for them and
+/// no larger response could be dropped.
 bool server_connection::isTooLarge() {
-  if (Share.resize(Decoder->bodyBytes()))
-    return false;
+  // Dropping another response may end this call as well.
+  while (Call && !Share.resize(Decoder->heldBytes())) {
+    const auto Largest = Pool.largestResponse();
+    const bool IsLargest =
+        !Largest || Largest->reservedBytes() <= Decoder->heldBytes();
+    if (IsLargest) {
+      logDropped();
+      return true;
+    }
+    Largest->dropResponse();
+  }
+  return false;
+}
+
+void server_connection::dropResponse() {
+  logDropped();
+  failCall(attempt_outcome::ConnectionLost);
+}
+
+void server_connection::logDropped() const {
   logLine(log_level::Warning, "response-dropped",
           {{"server", Call->Order.Server},
            {"request", Call->RequestId},
            {"body_bytes", Decoder->bodyBytes()},
            {"bodies_held", Pool.Bodies->reservedBytes()}});
-  return true;
 }
 
 /// The response to this request may still follow. The connection is not reused
@@ -260,8 +290,9 @@
 }
 
 void server_connection::beginDecoding() {
-  Decoder =
-      std::make_unique<response_decoder>(ResponseLimits, Call->IsHeadRequest);
+  Decoder = std::make_unique<response_decoder>(
+      Call->IsLoadProbe ? LoadProbeLimits : ResponseLimits,
+      Call->IsHeadRequest);
   Decoder->setHeadHandler([this](int Status, const header_list &Headers) {
     onResponseHead(Status, Headers);
   });
@@ -345,6 +376,7 @@
                         !Stream->hasUnsent() && !Stream->isClosed();
   Decoder.reset();
   Share = body_reservation();
+  Pool.Receiving.erase(Self);
   if (MayReuse && Result.Outcome != attempt_outcome::WrongServer)
     Pool.releaseIdle(Self);
   else
@@ -461,6 +493,16 @@
   Idle[Connection->address()].push_back(Connection);
 }
 
+/// Returns the connection whose response takes the most memory, or null.
+std::shared_ptr<server_connection> server_pool::largestResponse() const {
+  const auto Largest =
+      std::max_element(Receiving.begin(), Receiving.end(),
+                       [](const auto &Left, const auto &Right) {
+                         return Left->reservedBytes() < Right->reservedBytes();
+                       });
+  return Largest == Receiving.end() ? nullptr : *Largest;
+}
+
 void server_pool::removeIdle(const server_connection *Connection) {
   std::erase_if(Idle[Connection->address()],
                 [Connection](const auto &IdleConnection) {
--- a/src/gateway/server_pool.h
+++ b/src/gateway/server_pool.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -66,7 +67,9 @@
 class server_pool {
 public:
   /// The bodies of all responses that are being received take at most
-  /// \p BodyBytes together.
+  /// \p BodyBytes together. If they would take more, the largest one is
+  /// dropped, so that a server which sends without end does not cost the
+  /// responses of others.
   server_pool(event_loop &Loop, std::size_t BodyBytes)
       : Loop(Loop), Bodies(std::make_shared<body_budget>(BodyBytes)) {}
 
@@ -87,10 +90,13 @@
   std::shared_ptr<server_connection> acquireIdle(const server_call &Call);
   void releaseIdle(const std::shared_ptr<server_connection> &Connection);
   void removeIdle(const server_connection *Connection);
+  std::shared_ptr<server_connection> largestResponse() const;
 
   event_loop &Loop;
   std::shared_ptr<body_budget> Bodies;
   std::map<std::string, std::vector<std::shared_ptr<server_connection>>> Idle;
+  /// The connections with a call.
+  std::set<std::shared_ptr<server_connection>> Receiving;
   std::uint64_t ConnectionsOpened = 0;
 };
 
