--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -151,7 +151,7 @@
   bool ClosingGracefully = false;
   event_loop::timer_id Timer = 0;
   event_loop::timer_id EndTimer = 0; ///< Set while reading is paused.
-  std::size_t BodyBytesAtArm = 0; ///< Received when the timer was armed.
+  std::size_t BodyBytesAtArm = 0;    ///< Received when the timer was armed.
 };
 
 } // namespace agatedale
--- a/src/gateway/peer_connection.cpp
+++ b/src/gateway/peer_connection.cpp
@@ -119,20 +119,30 @@
   return Bytes;
 }
 
+template <typename Queue>
+auto peer_connection::findUnsent(Queue &Messages, peer_message_kind Kind,
+                                 std::uint64_t Call) {
+  return std::find_if(Messages.begin(), Messages.end(),
+                      [Kind, Call](const outgoing_message &Message) {
+                        return Message.Kind == Kind && Message.Call == Call;
+                      });
+}
+
 bool peer_connection::isUnsent(peer_message_kind Kind,
                                std::uint64_t Call) const {
-  const auto IsThis = [Kind, Call](const outgoing_message &Message) {
-    return Message.Kind == Kind && Message.Call == Call;
-  };
-  return std::any_of(Small.begin(), Small.end(), IsThis) ||
-         std::any_of(Large.begin(), Large.end(), IsThis);
+  return findUnsent(Small, Kind, Call) != Small.end() ||
+         findUnsent(Large, Kind, Call) != Large.end();
 }
 
 bool peer_connection::dropUnsent(peer_message_kind Kind, std::uint64_t Call) {
-  const auto IsThis = [Kind, Call](const outgoing_message &Message) {
-    return Message.Kind == Kind && Message.Call == Call;
-  };
-  return std::erase_if(Small, IsThis) + std::erase_if(Large, IsThis) > 0;
+  for (std::deque<outgoing_message> *Queue : {&Small, &Large}) {
+    const auto Found = findUnsent(*Queue, Kind, Call);
+    if (Found == Queue->end())
+      continue;
+    Queue->erase(Found);
+    return true;
+  }
+  return false;
 }
 
 void peer_connection::close() { Stream->close(); }
--- a/src/gateway/peer_connection.h
+++ b/src/gateway/peer_connection.h
@@ -100,6 +100,9 @@
   void onPart(const peer_frame &Frame);
   void beginMessage(incoming_message &Message, const peer_frame &Frame);
   void sendQueued();
+  template <typename Queue>
+  static auto findUnsent(Queue &Messages, peer_message_kind Kind,
+                         std::uint64_t Call);
   std::string takeSmall();
   std::string takeLargeFrame();
   void fail(const std::string &Why);
