--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -296,6 +296,8 @@
                    static_cast<double>(Host->holdsMade()));
   Metrics.setGauge("agatedale_older_registrations_seen", {},
                    static_cast<double>(FleetState->olderRegistrations()));
+  Metrics.setGauge("agatedale_requests_not_served", {},
+                   static_cast<double>(CallerListener->counts().Departed));
   Metrics.setGauge("agatedale_ready", {}, isReady() ? 1 : 0);
 }
 
