After a long turn of the event loop sockets are read before timers run

A response became may-have-run, a connection that was made failed, a peer that had answered its ping was unresponsive.

Fix: the timers of a long turn run after the next look at the sockets, which does not wait. They wait for one turn at most.

Evidence: SocketThatIsReadyAfterALongTurnGoesBeforeTimers fails without the change and passes with it.

--- a/include/agatedale/turn_clock.h
+++ b/include/agatedale/turn_clock.h
@@ -31,7 +31,7 @@
     if (TurnBegan == time_point{})
       TurnBegan = Now;
     WaitBegan = Now;
-    Timeout = Now - TurnBegan > LateAfter ? duration::zero() : MaxWait;
+    Timeout = isLong(Now) ? duration::zero() : MaxWait;
     return Timeout;
   }
 
@@ -57,6 +57,9 @@
   /// Returns how long an event of this turn may have waited at most.
   duration longestWait(time_point Now) const { return Now - Since; }
 
+  /// Returns true if this turn itself has taken long.
+  bool isLong(time_point Now) const { return Now - TurnBegan > LateAfter; }
+
   bool isLate(time_point Now) const { return longestWait(Now) > LateAfter; }
 
 private:
--- a/src/gateway/event_loop.cpp
+++ b/src/gateway/event_loop.cpp
@@ -132,6 +132,14 @@
   }
 }
 
+/// Runs the timers, or leaves them for the next turn if this one was long: what
+/// has arrived meanwhile may be what a timeout waits for.
+void event_loop::runTimersAfterEvents() {
+  TimersWait = !TimersWait && Clock.isLong(bootNow());
+  if (!TimersWait)
+    runTimers();
+}
+
 Poco::Timespan event_loop::untilNextTimer(time_point Now) const {
   if (Timers.empty())
     return Poco::Timespan(MaxSleepMicros);
@@ -175,7 +183,7 @@
   while (!Stopping) {
     handleEvents(waitForEvents());
     runPosted();
-    runTimers();
+    runTimersAfterEvents();
     reportIfLate();
   }
   Stopping = false;
--- a/src/gateway/event_loop.h
+++ b/src/gateway/event_loop.h
@@ -67,6 +67,7 @@
   template <typename Task> static void runGuarded(const Task &Run);
   void runPosted();
   void runTimers();
+  void runTimersAfterEvents();
   Poco::Timespan untilNextTimer(time_point Now) const;
   Poco::Net::PollSet::SocketModeMap waitForEvents();
   void handleEvents(const Poco::Net::PollSet::SocketModeMap &Ready);
@@ -76,6 +77,7 @@
 
   Poco::Net::PollSet Sockets;
   turn_clock Clock;
+  bool TimersWait = false; ///< Not run in the turn before.
   std::function<void(duration)> OnLate;
   std::unordered_map<const Poco::Net::SocketImpl *,
                      std::shared_ptr<socket_handler>>
--- a/tests/unit/event_loop_test.cpp
+++ b/tests/unit/event_loop_test.cpp
@@ -4,7 +4,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <Poco/Net/DatagramSocket.h>
+
 #include <stdexcept>
+#include <thread>
 
 using namespace agatedale;
 using std::chrono::milliseconds;
@@ -24,4 +27,30 @@
   BOOST_TEST(IsNextRun);
 }
 
+// Guards against a timeout that counts though the answer has arrived while the
+// loop was busy.
+BOOST_AUTO_TEST_CASE(SocketThatIsReadyAfterALongTurnGoesBeforeTimers) {
+  const auto Loop = moveValue(event_loop::create());
+  const Poco::Net::SocketAddress Loopback("127.0.0.1", 0);
+  Poco::Net::DatagramSocket Receiver(Loopback);
+  Poco::Net::DatagramSocket Sender(Loopback);
+  bool IsReadFirst = false;
+  bool HasRead = false;
+  Loop->watch(Receiver, Poco::Net::PollSet::POLL_READ, [&](int) {
+    char Byte = 0;
+    Receiver.receiveBytes(&Byte, 1);
+    HasRead = true;
+  });
+  Loop->after(milliseconds(30), [&] {
+    IsReadFirst = HasRead;
+    Loop->stop();
+  });
+  Loop->post([&] {
+    Sender.sendTo("x", 1, Receiver.address());
+    std::this_thread::sleep_for(milliseconds(100));
+  });
+  Loop->run();
+  BOOST_TEST(IsReadFirst);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
