Accounts: an empty table admits no key

Cause: the decoder gave the same empty list for a table of accounts that is empty and for one that is absent, and every decision asked account_directory::isEmpty(). The log could not tell the two apart either (accounts: 0 in both). Evidence: version 3, with the empty table, was in force at all gateways when the requests ran, and keys that no version ever held ran, so neither a late version nor accounts that were kept explain it. Change: configuration_parts::Accounts is absent or a list; account_directory::requiresAccount() takes the place of isEmpty() at admission, for the account of an upload, at the check of a peer's request, in the readiness without proof and in the proof at the moment of sending. The log line configuration-in-force has account_required. agatedalectl check names an empty table (no-accounts), and its list of changes tells it from an absent one. Related path: a VM whose configuration is older than the one that admitted a request, and has no table, ran it whatever its age. Such a configuration proves nothing now. Why it works: no decision can ask for emptiness any more, as isEmpty() is gone.

--- a/include/agatedale/account_directory.h
+++ b/include/agatedale/account_directory.h
@@ -44,17 +44,21 @@
 public:
   /// Builds the directory. An empty key, a key held by two accounts, a negative
   /// limit, and a name that is no header value are errors. Errors name the
-  /// accounts and contain no key.
+  /// accounts and contain no key. Without accounts, only requests of public
+  /// routes are served.
   static result<std::shared_ptr<const account_directory>>
   create(std::vector<client_account> Accounts);
 
-  /// Returns a directory without accounts.
+  /// Returns the directory of a configuration without a table of accounts: no
+  /// request needs an account.
   static std::shared_ptr<const account_directory> none();
 
   account_directory(const account_directory &) = delete;
   account_directory &operator=(const account_directory &) = delete;
 
-  bool isEmpty() const { return ByName.empty(); }
+  /// Returns true if requests of routes that are not public need an account.
+  /// An empty table of accounts needs one, too: no key is valid then.
+  bool requiresAccount() const { return IsRequired; }
 
   /// Returns the account that holds \p Key, or null. Costs one hash table
   /// lookup.
@@ -95,8 +99,9 @@
     }
   };
 
-  account_directory() = default;
+  explicit account_directory(bool IsRequired) : IsRequired(IsRequired) {}
 
+  bool IsRequired;
   std::map<std::string, client_account> ByName;
   /// Refers to the keys and accounts in ByName.
   std::unordered_map<hashed_key, const client_account *, hash_of_key> ByKey;
--- a/include/agatedale/configuration.h
+++ b/include/agatedale/configuration.h
@@ -154,7 +154,9 @@
   std::vector<service> Services;
   std::vector<backend_server> Servers;
   std::vector<route> Routes;
-  std::vector<client_account> Accounts;
+  /// Absent if requests need no account. An empty list differs: no key is
+  /// valid, and only requests of public routes are served.
+  std::optional<std::vector<client_account>> Accounts;
   /// The directory of the accounts if it exists already; Accounts is then not
   /// read. Saves to build it again for the next servers.
   std::shared_ptr<const account_directory> Directory;
--- a/include/agatedale/configuration_check.h
+++ b/include/agatedale/configuration_check.h
@@ -21,6 +21,7 @@
   NoServers,          ///< A region lacks servers of a service that it needs.
   ZeroWeight,         ///< An entry that receives nothing.
   NoKey,              ///< An account that no request can name.
+  NoAccounts,         ///< An empty table of accounts: no key is valid.
   DrainedRegion,      ///< All zones of a home region are drained.
   TimeoutUnderAim,    ///< Requests end before their target time.
   NoRetryBudget,      ///< Several attempts, and no retry is allowed.
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -95,8 +95,8 @@
   }
   if (Parts.Directory) {
     Config.Directory = std::move(Parts.Directory);
-  } else {
-    auto Built = account_directory::create(std::move(Parts.Accounts));
+  } else if (Parts.Accounts) {
+    auto Built = account_directory::create(std::move(*Parts.Accounts));
     if (const error *Error = errorOf(Built))
       return *Error;
     Config.Directory = moveValue(std::move(Built));
--- a/src/config/configuration_check.cpp
+++ b/src/config/configuration_check.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Entries without effect, contradicting limits and differences.
 #include "agatedale/configuration_check.h"
+#include "agatedale/account_directory.h"
 #include "agatedale/http_message.h"
 
 #include <fmt/format.h>
@@ -67,6 +68,7 @@
   void checkRegions(const route &Route);
   void checkRouteLimits(const route &Route);
   void checkAccount(const client_account &Account);
+  void checkAccountsExist();
   void checkDrainedRegions();
   void checkRetries();
 
@@ -196,6 +198,22 @@
                     Account.Burst, Held));
 }
 
+void configuration_checker::checkAccountsExist() {
+  if (!Config.directory().requiresAccount() || !Config.accounts().empty())
+    return;
+  std::vector<std::string> Public;
+  for (const route &Route : Config.routes()) {
+    if (Route.IsPublic)
+      Public.push_back(Route.Name);
+  }
+  add(finding_kind::NoAccounts, "accounts",
+      Public.empty()
+          ? "the table is empty and no route is public, so no request is served"
+          : fmt::format("the table is empty, so only requests of these public "
+                        "routes are served: {}",
+                        fmt::join(Public, ", ")));
+}
+
 void configuration_checker::checkDrainedRegions() {
   string_set Homes;
   for (const route &Route : Config.routes())
@@ -240,6 +258,7 @@
     checkRegions(Config.routes()[I]);
     checkRouteLimits(Config.routes()[I]);
   }
+  checkAccountsExist();
   for (const auto &[Name, Account] : Config.accounts())
     checkAccount(Account);
   for (const auto &[Name, Service] : Config.services()) {
@@ -340,6 +359,9 @@
     Entries["servers." + Server.Name] = fieldsOf(Server);
   for (const route &Route : Config.routes())
     Entries["routes." + Route.Name] = fieldsOf(Route);
+  // The table is an entry of its own: an empty one is not an absent one.
+  if (Config.directory().requiresAccount())
+    Entries["accounts"];
   for (const auto &[Name, Account] : Config.accounts())
     Entries["accounts." + Name] = fieldsOf(Account);
   const budgets &Budgets = Config.costBudgets();
@@ -370,6 +392,8 @@
     return "zero-weight";
   case finding_kind::NoKey:
     return "no-key";
+  case finding_kind::NoAccounts:
+    return "no-accounts";
   case finding_kind::DrainedRegion:
     return "drained-region";
   case finding_kind::TimeoutUnderAim:
--- a/src/config/configuration_reader.cpp
+++ b/src/config/configuration_reader.cpp
@@ -225,6 +225,8 @@
 }
 
 bool configuration_reader::readAccounts() {
+  if (!Root.contains("accounts"))
+    return true;
   std::vector<client_account> Accounts;
   const bool IsRead =
       readObjects("accounts", [this, &Accounts](const std::string &Name,
@@ -238,6 +240,7 @@
       });
   if (!IsRead)
     return false;
+  Config.Places.emplace("accounts", placeOf(*Root.get("accounts")));
   auto Built = account_directory::create(std::move(Accounts));
   if (const error *Error = errorOf(Built))
     return recordError(Error);
--- a/src/core/accounts/account_directory.cpp
+++ b/src/core/accounts/account_directory.cpp
@@ -49,7 +49,8 @@
 
 result<std::shared_ptr<const account_directory>>
 account_directory::create(std::vector<client_account> Accounts) {
-  const std::shared_ptr<account_directory> Directory(new account_directory);
+  const std::shared_ptr<account_directory> Directory(
+      new account_directory(true));
   std::size_t KeyCount = 0;
   for (client_account &Account : Accounts) {
     if (const std::string Fault = faultOf(Account); !Fault.empty())
@@ -82,7 +83,7 @@
 
 std::shared_ptr<const account_directory> account_directory::none() {
   static const std::shared_ptr<const account_directory> None(
-      new account_directory);
+      new account_directory(false));
   return None;
 }
 
--- a/src/core/accounts/configuration_proof.cpp
+++ b/src/core/accounts/configuration_proof.cpp
@@ -62,15 +62,17 @@
 configuration_proof::reasonNotToRun(const admitted_key &Request,
                                     const configuration_in_force &Own,
                                     time_point Now) const {
-  if (Request.Account.empty() || Own.Directory.isEmpty())
+  if (Request.Account.empty())
     return refusal_reason::None;
   // An older configuration than the one that admitted the request tells nothing
-  // about its key, which may be new.
+  // about its key, which may be new, nor whether accounts are required.
+  const bool IsOlder = Own.Version < Request.Version;
+  if (!IsOlder && !Own.Directory.requiresAccount())
+    return refusal_reason::None;
   const bool IsNewer = Own.Version > Request.Version;
   if (IsNewer && !Own.Directory.holds(Request.Account, Request.Check))
     return refusal_reason::ClientKeyRevoked;
-  const time_point OwnAsOf =
-      Own.Version >= Request.Version ? Own.AsOf : time_point{};
+  const time_point OwnAsOf = IsOlder ? time_point{} : Own.AsOf;
   const time_point AsOf = std::max(Request.AsOf, OwnAsOf);
   return isWithin(1 - MarginShare, AsOf, Now)
              ? refusal_reason::None
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -71,8 +71,9 @@
 }
 
 bool fleet_state::mayAdmitKeys() const {
-  const bool HasAccounts = View && !View->Config->directory().isEmpty();
-  return !HasAccounts || Proof.mayAdmit(provenAsOf(), bootNow());
+  const bool NeedsAccounts =
+      View && View->Config->directory().requiresAccount();
+  return !NeedsAccounts || Proof.mayAdmit(provenAsOf(), bootNow());
 }
 
 void fleet_state::checkStoreAge() {
@@ -390,8 +391,13 @@
             {{"offered", Decoded.Version}, {"in_force", ActiveVersion}});
     return std::nullopt;
   }
+  if (!Decoded.Parts.Accounts) {
+    Decoded.Parts.Directory = account_directory::none();
+    return Decoded;
+  }
   auto Directory =
-      account_directory::create(std::exchange(Decoded.Parts.Accounts, {}));
+      account_directory::create(std::move(*Decoded.Parts.Accounts));
+  Decoded.Parts.Accounts.reset();
   if (const error *Error = errorOf(Directory)) {
     logRefused(*Error);
     return std::nullopt;
@@ -540,6 +546,7 @@
               {{"version", Newer->Version},
                {"before", ActiveVersion},
                {"accounts", Newer->Parts.Directory->accounts().size()},
+               {"account_required", Newer->Parts.Directory->requiresAccount()},
                {"age_ms",
                 toMillis(bootNow() - Mirror.asOf(store_table::Operators))}});
       ActiveParts = std::move(Newer->Parts);
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -211,11 +211,11 @@
 }
 
 /// Finds the account of a request and takes the client's key out of it. Without
-/// accounts in the configuration, requests pass unchanged.
+/// a table of accounts in the configuration, requests pass unchanged.
 account_admission request_router::admit(const route &Route,
                                         caller_exchange &Exchange) {
   const account_directory &Directory = Snapshot->Config->directory();
-  if (Directory.isEmpty())
+  if (!Directory.requiresAccount())
     return {};
   account_admission Found;
   if (!Route.IsPublic)
@@ -228,7 +228,7 @@
 
 std::optional<std::string>
 request_router::accountOf(const request_decoder &Received) const {
-  if (!Snapshot || Snapshot->Config->directory().isEmpty())
+  if (!Snapshot || !Snapshot->Config->directory().requiresAccount())
     return std::nullopt;
   const http_request_message Head = Received.head();
   const presented_key Key = platform::readClientKey(Head);
@@ -744,7 +744,7 @@
   const auto Route = std::find_if(
       Config.routes().begin(), Config.routes().end(),
       [&Request](const route &Known) { return Known.Name == Request.Route; });
-  const bool NeedsKey = !Config.directory().isEmpty() &&
+  const bool NeedsKey = Config.directory().requiresAccount() &&
                         Route != Config.routes().end() && !Route->IsPublic;
   return NeedsKey ? refusal_reason::ConfigurationUnproven
                   : refusal_reason::None;
--- a/src/gateway/request_router.h
+++ b/src/gateway/request_router.h
@@ -78,7 +78,7 @@
   }
 
   /// Returns the account of a request whose body is still received, empty if
-  /// its key is not known; nothing if the configuration has no accounts.
+  /// its key is not known; nothing if the configuration requires no account.
   std::optional<std::string> accountOf(const request_decoder &Received) const;
 
   /// Serves a caller's request.
--- a/tests/unit/account_directory_test.cpp
+++ b/tests/unit/account_directory_test.cpp
@@ -127,6 +127,28 @@
   BOOST_TEST(!Directory.holds("acme", 0));
 }
 
+// Guards against an empty table that admits requests without a valid key.
+BOOST_AUTO_TEST_CASE(EmptyDirectoryRequiresAnAccountAndHoldsNoKey) {
+  const auto Built = account_directory::create({});
+  BOOST_REQUIRE(!errorOf(Built));
+  BOOST_TEST(valueOf(Built)->requiresAccount());
+  BOOST_TEST(!valueOf(Built)->find("k"));
+  BOOST_TEST(!account_directory::none()->requiresAccount());
+}
+
+BOOST_AUTO_TEST_CASE(ConfigurationRequiresAnAccountIfItHasTheTable) {
+  const auto IsRequired = [](configuration_parts Parts) {
+    return valueOf(configuration::fromParts(std::move(Parts)))
+        .directory()
+        .requiresAccount();
+  };
+  BOOST_TEST(IsRequired(partsWith({account("acme", {"k"})})));
+  BOOST_TEST(IsRequired(partsWith({})));
+  configuration_parts Parts = partsWith({});
+  Parts.Accounts.reset();
+  BOOST_TEST(!IsRequired(Parts));
+}
+
 // Guards against work per account at each change of the servers: the event loop
 // of a VM with 0.1 cores would stand still for it.
 BOOST_AUTO_TEST_CASE(DirectoryIsSharedAndNotBuiltAgain) {
--- a/tests/unit/configuration_check_test.cpp
+++ b/tests/unit/configuration_check_test.cpp
@@ -94,7 +94,7 @@
   client_account Web;
   Web.Name = "web";
   Web.Keys = {"first-secret", "second-secret"};
-  Parts.Accounts = {Web};
+  Parts.Accounts = std::vector{Web};
   return Parts;
 }
 
@@ -151,6 +151,8 @@
        "address = \"127.0.0.3:9000\"\n[routes.x]\npath_prefix = \"/x\"\n"
        "service = \"scans\"\n[accounts.web]\nhomes = [\"s\"]\n",
        "no-servers", "t.toml:21", "region s has no server of service scans"},
+      {"empty table of accounts", Route + "[accounts]\n", "no-accounts",
+       "t.toml:19", "no route is public, so no request is served"},
       {"only zone of a home region drained",
        "[accounts.web]\nhomes = [\"s\"]\n[zone_states.b]\nout = true\n",
        "drained-region", "t.toml:5", "region s has drained zones only: b"},
@@ -201,20 +203,25 @@
          P.Routes[0].Split.push_back({"scans", 0});
        },
        "zero-weight", "scans has weight 0"},
-      {"account of weight 0", [](parts &P) { P.Accounts[0].Weight = 0; },
+      {"account of weight 0", [](parts &P) { P.Accounts->front().Weight = 0; },
        "zero-weight", "accounts.web: "},
       {"account without key",
+       [](parts &P) { P.Accounts->emplace_back().Name = "mobile"; }, "no-key",
+       "accounts.mobile: "},
+      {"no account", [](parts &P) { P.Accounts->clear(); }, "no-accounts",
+       "no route is public, so no request is served"},
+      {"no account beside a public route",
        [](parts &P) {
-         P.Accounts.emplace_back();
-         P.Accounts[1].Name = "mobile";
+         P.Accounts->clear();
+         P.Routes[0].IsPublic = true;
        },
-       "no-key", "accounts.mobile: "},
+       "no-accounts", "only requests of these public routes are served: x"},
       {"time-out under the aim",
        [](parts &P) { P.Routes[0].Aim = milliseconds(2001); },
        "timeout-under-aim", "time-out 2000 ms is under the aim 2001 ms"},
-      {"rate", [](parts &P) { P.Accounts[0].RatePerSecond = 2001; },
+      {"rate", [](parts &P) { P.Accounts->front().RatePerSecond = 2001; },
        "quota-above-capacity", "rate 2001/s is above the 2000/s"},
-      {"burst", [](parts &P) { P.Accounts[0].Burst = 67; },
+      {"burst", [](parts &P) { P.Accounts->front().Burst = 67; },
        "quota-above-capacity", "burst 67 is above the 66 requests"},
       {"cold without rate",
        [](parts &P) { P.Services[0].ColdDuration = milliseconds(500); },
@@ -224,9 +231,9 @@
        "above the 1000 bytes"},
       {"key held twice",
        [](parts &P) {
-         P.Accounts.emplace_back();
-         P.Accounts[1].Name = "mobile";
-         P.Accounts[1].Keys = {"second-secret"};
+         client_account &Mobile = P.Accounts->emplace_back();
+         Mobile.Name = "mobile";
+         Mobile.Keys = {"second-secret"};
        },
        "invalid", "accounts 'mobile' (key 1) and 'web' (key 2) hold the same"},
   };
@@ -291,12 +298,33 @@
            "body-limit", Place, "PUT");
 }
 
+// Guards against an alarm for operators who use no accounts.
+BOOST_AUTO_TEST_CASE(AbsentTableOfAccountsHasNoFinding) {
+  configuration_parts Parts = goodParts();
+  Parts.Accounts.reset();
+  const auto Findings = findingsOf(configuration::fromParts(Parts));
+  BOOST_TEST(Findings.empty(), textOf(Findings));
+}
+
+// Guards against a change that opens all routes and is not shown.
+BOOST_AUTO_TEST_CASE(DifferenceTellsAnEmptyTableOfAccountsFromNone) {
+  configuration_parts Parts = goodParts();
+  Parts.Accounts->clear();
+  const auto Empty = configuration::fromParts(Parts);
+  Parts.Accounts.reset();
+  const auto Absent = configuration::fromParts(Parts);
+  const auto Changes = configurationDifference(valueOf(Empty), valueOf(Absent));
+  BOOST_TEST_REQUIRE(Changes.size() == 1U);
+  BOOST_TEST(Changes[0].Entry == "accounts");
+  BOOST_TEST((Changes[0].Kind == entry_change_kind::Removed));
+}
+
 // Guards against changes that are missed, and keys that are shown.
 BOOST_AUTO_TEST_CASE(DifferenceNamesEntriesWithOldAndNewValues) {
   configuration_parts Parts = goodParts();
   const auto Before = configuration::fromParts(Parts);
   Parts.Routes[0].Timeout = milliseconds(500);
-  Parts.Accounts[0].Keys = {"first-secret", "third-secret"};
+  Parts.Accounts->front().Keys = {"first-secret", "third-secret"};
   Parts.Servers[0].Name = "two";
   const auto After = configuration::fromParts(Parts);
   BOOST_TEST_REQUIRE(!errorOf(Before));
--- a/tests/unit/configuration_proof_test.cpp
+++ b/tests/unit/configuration_proof_test.cpp
@@ -132,6 +132,39 @@
   }
 }
 
+// Guards against requests that run after their account was the last one and was
+// removed.
+BOOST_AUTO_TEST_CASE(NewerConfigurationWithAnEmptyTableRefuses) {
+  const auto Empty = valueOf(account_directory::create({}));
+  for (const auto &Proof : {strict(), configuration_proof::create({})}) {
+    BOOST_TEST(
+        (Proof.reasonNotToRun(admitted(7, Start), {*Empty, 8, Start}, Start) ==
+         refusal_reason::ClientKeyRevoked));
+    BOOST_TEST((Proof.reasonNotToRun(admitted(7, Start), {*Empty, 6, Start},
+                                     Start) == refusal_reason::None));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(CurrentConfigurationWithoutTheTableNeedsNoProof) {
+  const auto None = account_directory::none();
+  const time_point Late = Start + 2 * Bound;
+  for (const std::uint64_t Version : {7, 8})
+    BOOST_TEST(
+        (strict().reasonNotToRun(admitted(7, Start), {*None, Version, Start},
+                                 Late) == refusal_reason::None));
+}
+
+// Guards against a VM without contact that knows only a configuration from
+// before there were accounts, and runs requests whatever their age.
+BOOST_AUTO_TEST_CASE(OlderConfigurationWithoutTheTableProvesNothing) {
+  const auto None = account_directory::none();
+  const auto Reason = [&](time_point Now) {
+    return strict().reasonNotToRun(admitted(7, Start), {*None, 6, Now}, Now);
+  };
+  BOOST_TEST((Reason(Start) == refusal_reason::None));
+  BOOST_TEST((Reason(Start + Bound) == refusal_reason::ConfigurationUnproven));
+}
+
 BOOST_AUTO_TEST_CASE(RequestWithoutProofOfItsSenderIsRefused) {
   const configuration_proof Proof = strict();
   const auto Directory = directoryWith({"k1"});
--- a/tests/unit/quota_service_test.cpp
+++ b/tests/unit/quota_service_test.cpp
@@ -31,7 +31,7 @@
   Account.RatePerSecond = Rate;
   Account.Burst = Burst;
   configuration_parts Parts;
-  Parts.Accounts.push_back(Account);
+  Parts.Accounts = std::vector{Account};
   return moveValue(configuration::fromParts(std::move(Parts)));
 }
 
--- a/tools/accounts_main.cpp
+++ b/tools/accounts_main.cpp
@@ -54,8 +54,10 @@
     Route.Service = "desk";
     Route.Split = {{"desk", 1}};
   }
+  if (WithAccounts)
+    Parts.Accounts.emplace();
   for (int I = 0; WithAccounts && I < Accounts; ++I) {
-    client_account &Account = Parts.Accounts.emplace_back();
+    client_account &Account = Parts.Accounts->emplace_back();
     Account.Name = fmt::format("account-{}", I);
     Account.Keys = {fmt::format("key-{:032x}", I * 2654435761U)};
   }
@@ -143,7 +145,7 @@
   http_request_message Message = Decoder.takeMessage();
   const route *Route =
       Config.findRouteForHost(Message.Headers.get("Host"), Message.Target);
-  if (!Config.directory().isEmpty()) {
+  if (Config.directory().requiresAccount()) {
     const account_admission Found = Gate.admit(
         Config.directory(), platform::readClientKey(Message), {Now, Now, Now});
     platform::setAccountHeaders(Message, Found.Account->Name);
