Split weights: nothing is owed to a service by former weights

Cause: weighted_round_robin kept a credit for each service in units of the weights. Credits of up to 50, which the weights 95 and 5 leave, are 50 requests at 0 and 1. Change: a service keeps how far it is towards its next request, from 0 to 1, and its share is computed from the weights in force at each request. The first position is random, so that gateways do not all begin with the same service. The positions of a route end with it. The router's random numbers differ after a restart. Why it works: nothing that is kept has the unit of a version, so there is no change to detect. Beginning anew with each change would favour one service in a series of versions; scaled credits leave a service of weight 0 up to a request of each gateway.

--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -176,7 +176,26 @@
     : Loop(Loop), Settings(Settings), Vms(Vms), Host(Host), Leaving(Leaving),
       Metrics(Metrics),
       Selector(group_selector::create(selectorSettings(Settings))),
-      Random(stableHash(Settings.Vm)) {}
+      Random(Vms.self().Id.Incarnation ^ stableHash(Settings.Vm)) {}
+
+void request_router::setSnapshot(
+    std::shared_ptr<const fleet_snapshot> NewSnapshot) {
+  const bool IsNewVersion =
+      !Snapshot || Snapshot->Version != NewSnapshot->Version;
+  Snapshot = std::move(NewSnapshot);
+  if (IsNewVersion)
+    retainRouteSplits();
+}
+
+/// Drops the splits of routes that are no longer configured.
+void request_router::retainRouteSplits() {
+  std::map<std::string, weighted_round_robin> Retained;
+  for (const route &Route : Snapshot->Config->routes()) {
+    if (auto Split = RouteSplits.extract(Route.Name))
+      Retained.insert(std::move(Split));
+  }
+  RouteSplits = std::move(Retained);
+}
 
 void request_router::refuseImmediately(
     const std::shared_ptr<caller_exchange> &Exchange,
@@ -284,7 +303,7 @@
   const auto ActiveRequest = std::make_shared<active_request>();
   ActiveRequest->Exchange = Exchange;
   ActiveRequest->ArrivedAt = Exchange->ArrivedAt;
-  ActiveRequest->Service = RouteSplits[Route.Name].next(Route.Split);
+  ActiveRequest->Service = RouteSplits[Route.Name].next(Route.Split, Random);
   ActiveRequest->HomeRegions = std::move(*Homes);
   forward_request &Request = ActiveRequest->Request;
   Request.Id = Terms.Id;
--- a/src/gateway/request_router.h
+++ b/src/gateway/request_router.h
@@ -56,9 +56,7 @@
   void setBudget(std::shared_ptr<byte_budget> NewBudget) {
     Budget = std::move(NewBudget);
   }
-  void setSnapshot(std::shared_ptr<const fleet_snapshot> NewSnapshot) {
-    Snapshot = std::move(NewSnapshot);
-  }
+  void setSnapshot(std::shared_ptr<const fleet_snapshot> NewSnapshot);
 
   /// What is known of the age of the configuration, and of requests for which
   /// that matters.
@@ -136,6 +134,7 @@
   std::chrono::milliseconds
   ageOfCaller(const std::string &Route,
               std::optional<std::chrono::milliseconds> TimeLeft);
+  void retainRouteSplits();
   account_admission admit(const route &Route, caller_exchange &Exchange);
   void place(const std::shared_ptr<caller_exchange> &Exchange,
              const route &Route, const account_admission &Admission);
