Fair queue: a changed weight applies to a queue that is not empty

An account whose queue never becomes empty, so one under overload, kept the share of its former weight however long that lasted. Cause: the weight was taken from the request that began the queue. Change: each request that is queued brings the weight in force. Why it works: the virtual time of an account is ahead by one request at most, so nothing else is kept in units of the former weight. Test: ChangedWeightAppliesToAQueueThatIsNotEmpty failed before (50 of 100 requests where 75 are right).

--- a/src/core/fair_queue.cpp
+++ b/src/core/fair_queue.cpp
@@ -31,8 +31,9 @@
     const double Finish =
         Remembered == FinishTimes.end() ? 0 : Remembered->second;
     Queue->second.VirtualTime = std::max(SystemVirtualTime, Finish);
-    Queue->second.Weight = std::max(Item.Weight, 1);
   }
+  // The weight may have changed while the queue was not empty.
+  Queue->second.Weight = std::max(Item.Weight, 1);
   const queue_order Order{Item.Priority, Item.Deadline, Item.Id};
   Queue->second.Items.emplace(Order, Item);
   Places.emplace(Item.Id, place{Item.Account, Order});
--- a/tests/unit/fair_queue_test.cpp
+++ b/tests/unit/fair_queue_test.cpp
@@ -49,6 +49,22 @@
   BOOST_TEST(Served, "expected the quiet account's item among the first two");
 }
 
+// Guards against the weight of a former configuration that lasts as long as the
+// account has requests in the queue.
+BOOST_AUTO_TEST_CASE(ChangedWeightAppliesToAQueueThatIsNotEmpty) {
+  fair_queue Queue = fair_queue::create(1000);
+  for (request_id I = 0; I < 100; ++I) {
+    Queue.push(item(I, "changed", 100, 1));
+    Queue.push(item(1000 + I, "other", 100, 1));
+  }
+  Queue.push(item(500, "changed", 100, 3));
+  int Changed = 0;
+  for (int I = 0; I < 100; ++I)
+    Changed += Queue.pop()->Account == "changed" ? 1 : 0;
+  BOOST_TEST(std::abs(Changed - 75) <= 1);
+  BOOST_TEST(Queue.shareOf("new", 1) == 0.2);
+}
+
 BOOST_AUTO_TEST_CASE(AccountsAreServedInProportionToWeights) {
   fair_queue Queue = fair_queue::create(1000);
   for (request_id I = 0; I < 200; ++I) {
