Server groups: a changed number of slots applies at once

A server whose row stated fewer slots was sent as many requests as before until the next change of the configuration or of any server. Cause: setServers() took over the server's row and left its slot limit as it was; only reconfigure(), which the host calls before it with the former rows, set the limits. Change: setServers() sets the limit of a known server from its row. Test: ReducedSlotsOfOneServerApplyImmediately failed before (limit 2, expected 1).

--- a/src/core/server_group_servers.cpp
+++ b/src/core/server_group_servers.cpp
@@ -120,6 +120,7 @@
     if (Known->Server.ColdLeft != Server.ColdLeft)
       Known->ColdUntil = Now + Server.ColdLeft;
     Known->Server = Server;
+    Known->Limit.reconfigure(limitSettings(Server));
     assignLearnedLimit(*Known);
     Known->Gone = false;
   }
--- a/tests/unit/server_group_test.cpp
+++ b/tests/unit/server_group_test.cpp
@@ -295,6 +295,18 @@
   BOOST_TEST(Group.limitOf("s0", Start) == 1);
 }
 
+// Guards against more requests than a server has slots until something else in
+// the configuration changes.
+BOOST_AUTO_TEST_CASE(ReducedSlotsOfOneServerApplyImmediately) {
+  server_group Group = group(1);
+  warmUp(Group, milliseconds(0));
+  BOOST_REQUIRE(Group.limitOf("s0", Start) == 2);
+  std::vector<backend_server> Changed = servers(1);
+  Changed[0].Slots = 1;
+  Group.setServers(Changed, true, Start);
+  BOOST_TEST(Group.limitOf("s0", Start) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(DeactivatedZoneRefusesNewWorkAndReturnsCold) {
   server_group Group = group(1);
   Group.setServers(servers(1), false, Start);
