Responses: a status above 599 is refused, too

What callers saw: a server's response with a status from 600 to 999 reached the caller. Cause: the check of a response's head had no upper bound, and that of a peer's reply allowed up to 999. Such a status is invalid (RFC 9110, 15), and agatedale-entry refuses it. Change: isFinalStatus(), 200 to 599, at both checks. The relay of a peer's reply checks it as well. Why it works: both ways in which a status comes in ask the same function before anything else of the message is used; such a request may have run, so an order is answered 504 once and a read goes to another server.

--- a/include/agatedale/http_message.h
+++ b/include/agatedale/http_message.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -29,6 +30,12 @@
                     });
 }
 
+/// Returns true if \p Status is that of a final response. Values above 599 are
+/// invalid (RFC 9110, 15).
+constexpr bool isFinalStatus(std::int64_t Status) {
+  return Status >= 200 && Status <= 599;
+}
+
 /// The headers of a message in the order in which they were received or added.
 class header_list {
 public:
--- a/src/gateway/http_codec.cpp
+++ b/src/gateway/http_codec.cpp
@@ -240,10 +240,12 @@
       // Behind 101 the connection does not speak HTTP, which no request asks
       // for.
       const unsigned Status = Head.result_int();
-      if (Status < FirstStatus || Status == StatusSwitchingProtocols)
+      const bool IsInterim = Status >= FirstStatus &&
+                             Status < FirstFinalStatus &&
+                             Status != StatusSwitchingProtocols;
+      if (!IsInterim && !isFinalStatus(Status))
         return framing_fault::StatusCode;
-      if (this->skip() || Status < FirstFinalStatus ||
-          hasNoBody(static_cast<int>(Status)))
+      if (this->skip() || IsInterim || hasNoBody(static_cast<int>(Status)))
         return framing_fault::None;
     }
     if (Head.count(http::field::transfer_encoding) == 0)
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -860,15 +860,15 @@
       [this, Complete, Group = Request.Group](wire_gateway::Forwarded *Reply,
                                               peer_failure Failure,
                                               received_body Body) {
-        if (Reply)
-          learnLeaving(*Reply, Group);
         forward_response Response;
         Response.Reason = refusal_reason::OwnerLost;
         Response.Verdict = Failure == peer_failure::NotSent
                                ? verdict::NotRun
                                : verdict::MayHaveRun;
-        if (Reply)
+        if (Reply && isUsable(*Reply)) {
+          learnLeaving(*Reply, Group);
           Response = responseOf(*Reply, std::move(Body));
+        }
         Complete(std::move(Response));
       },
       bodyBeside(Request.Message.Body));
--- a/src/gateway/wire_convert.cpp
+++ b/src/gateway/wire_convert.cpp
@@ -31,9 +31,6 @@
   return Headers;
 }
 
-constexpr int FirstFinalStatus = 200;
-constexpr int LastStatus = 999; ///< Of three digits.
-
 /// Returns true if \p Text is a name of RFC 9110, 5.6.2.
 bool isToken(std::string_view Text) {
   constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
@@ -239,8 +236,7 @@
 std::string_view whyInvalid(const wire::Forwarded &Message) {
   const bool IsAnswered =
       Message.verdict() == static_cast<std::uint32_t>(verdict::Answered);
-  if (IsAnswered &&
-      (Message.status() < FirstFinalStatus || Message.status() > LastStatus))
+  if (IsAnswered && !isFinalStatus(Message.status()))
     return "reply with an invalid status";
   return hasValidHeaders(Message) ? "" : "reply with invalid headers";
 }
--- a/tests/unit/strict_framing_test.cpp
+++ b/tests/unit/strict_framing_test.cpp
@@ -417,6 +417,9 @@
        "HTTP/1.1 099 Low\r\nContent-Length: 0\r\n\r\n" +
            ok("Content-Length: 0\r\n"),
        false},
+      {"status 000", "HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n", false},
+      {"status 600", "HTTP/1.1 600 High\r\nContent-Length: 0\r\n\r\n", false},
+      {"status 599", "HTTP/1.1 599 Last\r\nContent-Length: 0\r\n\r\n"},
       {"other protocol",
        "HTTP/1.1 101 Switching Protocols\r\n\r\n" + ok("Content-Length: 0\r\n"),
        false},
--- a/tests/unit/wire_bytes_test.cpp
+++ b/tests/unit/wire_bytes_test.cpp
@@ -200,9 +200,21 @@
   BOOST_TEST(whyInvalid(Answer) == "");
   Answer.mutable_headers(0)->set_value("a\nb");
   BOOST_TEST(whyInvalid(Answer) == "reply with invalid headers");
-  Answer = makeAnswer(Latin1);
-  Answer.set_status(100);
-  BOOST_TEST(whyInvalid(Answer) == "reply with an invalid status");
+}
+
+// Guards against a status that is none of HTTP, or that a reply does not have.
+BOOST_AUTO_TEST_CASE(ReplyWithAnInvalidStatusIsInvalid) {
+  wire::Forwarded Answer = makeAnswer("");
+  for (const unsigned Status : {200U, 599U}) {
+    Answer.set_status(Status);
+    BOOST_TEST(whyInvalid(Answer) == "", Status);
+  }
+  for (const unsigned Status :
+       {0U, 1U, 99U, 100U, 101U, 199U, 600U, 999U, 1000U, 4294967295U}) {
+    Answer.set_status(Status);
+    BOOST_TEST(whyInvalid(Answer) == "reply with an invalid status", Status);
+  }
+  BOOST_TEST(whyInvalid(wire::Forwarded()) == "reply with an invalid status");
 }
 
 BOOST_AUTO_TEST_CASE(BytesThatAreNotUtf8AreReplaced) {
