--- a/include/agatedale/cold_start_limiter.h
+++ b/include/agatedale/cold_start_limiter.h
@@ -39,9 +39,9 @@
         std::chrono::duration<double>(Requests / PerSecond));
   }
 
-  time_point CountedAt{};
-  double Owed =
-      0; ///< Requests sent at CountedAt that the rate has not allowed.
+  time_point CountedAt{}; ///< When the last request was sent.
+  /// Requests sent by then for which the rate had not left the time.
+  double Owed = 0;
 };
 
 } // namespace agatedale
--- a/include/agatedale/weighted_round_robin.h
+++ b/include/agatedale/weighted_round_robin.h
@@ -18,7 +18,7 @@
 /// to another service, so that the split stays as configured.
 ///
 /// Each service but the last takes its share of the requests that those before
-/// it leave, and keeps how far it is towards its next request. The start of it
+/// it leave, and keeps how far it is towards its next request. Where it begins
 /// is random, so that splits on many VMs share by the weights together, however
 /// few requests each of them gets. No weight is kept: a change of weights or
 /// services applies to the next request, and nothing is owed to a service from
--- a/src/config/configuration_check.cpp
+++ b/src/config/configuration_check.cpp
@@ -68,7 +68,7 @@
   void checkRegions(const route &Route);
   void checkRouteLimits(const route &Route);
   void checkAccount(const client_account &Account);
-  void checkAccountsExist();
+  void checkEmptyAccounts();
   void checkDrainedRegions();
   void checkRetries();
 
@@ -198,7 +198,7 @@
                     Account.Burst, Held));
 }
 
-void configuration_checker::checkAccountsExist() {
+void configuration_checker::checkEmptyAccounts() {
   if (!Config.directory().requiresAccount() || !Config.accounts().empty())
     return;
   std::vector<std::string> Public;
@@ -258,7 +258,7 @@
     checkRegions(Config.routes()[I]);
     checkRouteLimits(Config.routes()[I]);
   }
-  checkAccountsExist();
+  checkEmptyAccounts();
   for (const auto &[Name, Account] : Config.accounts())
     checkAccount(Account);
   for (const auto &[Name, Service] : Config.services()) {
