Configuration: a fault of one part leaves the rest of a version in force

Cause: any fault made the whole of a version invalid, so that what it withdraws stayed in force. The log rules out that the version is late, or that removed keys are kept beside it: configuration-refused names the region of the new account, and with a known region the removed key is refused.

Change: a region without zones is no fault of a version; its requests are refused at once (region-unknown). Services, routes and accounts that cannot be read or contradict themselves are in force with the reason, and their requests are refused as not run (route-unusable, account-unusable) with 503, never with 401 or 404. A key of two accounts belongs to neither. With keys or places of routes that cannot be read, no key or path counts as unknown. agatedalectl check reports the same faults as errors. This works because nothing that a version withdraws depends any more on what else is in it.

--- a/include/agatedale/account_directory.h
+++ b/include/agatedale/account_directory.h
@@ -42,13 +42,17 @@
 ///   const client_account *Account = valueOf(Built)->find("key of a client");
 class account_directory {
 public:
-  /// Builds the directory. An empty key, a key held by two accounts, a negative
-  /// limit, and a name that is no header value are errors. Errors name the
-  /// accounts and contain no key. Without accounts, only requests of public
-  /// routes are served.
+  /// Builds the directory; an account that is listed twice is an error. An
+  /// account that has a fault, an empty key, a negative limit, or a name that
+  /// is no header value is withheld, and so is a key that two accounts hold.
+  /// Without accounts, only requests of public routes are served.
   static result<std::shared_ptr<const account_directory>>
   create(std::vector<client_account> Accounts);
 
+  /// Returns the directory of a table that cannot be read because of \p Why:
+  /// any key may be in it.
+  static std::shared_ptr<const account_directory> unreadable(std::string Why);
+
   /// Returns the directory of a configuration without a table of accounts: no
   /// request needs an account.
   static std::shared_ptr<const account_directory> none();
@@ -60,8 +64,11 @@
   /// An empty table of accounts needs one, too: no key is valid then.
   bool requiresAccount() const { return IsRequired; }
 
-  /// Returns the account that holds \p Key, or null. Costs one hash table
-  /// lookup.
+  /// Returns false if the table cannot be read.
+  bool isReadable() const { return IsReadable; }
+
+  /// Returns the account that holds \p Key, or null if there is none or the key
+  /// is withheld. Costs one hash table lookup.
   const client_account *find(const hashed_key &Key) const {
     const auto Found = ByKey.find(Key);
     return Found == ByKey.end() ? nullptr : Found->second;
@@ -70,6 +77,13 @@
     return find(hashed_key::of(Key));
   }
 
+  /// Returns true if \p Key is held, or may be, and cannot be used. Such a key
+  /// is neither served nor refused as unknown.
+  bool isWithheld(const hashed_key &Key) const {
+    const auto Found = ByKey.find(Key);
+    return Found == ByKey.end() ? !KeysAreKnown : !Found->second;
+  }
+
   /// Returns the account \p Name, or null.
   const client_account *findByName(const std::string &Name) const;
 
@@ -80,8 +94,14 @@
     return hashed_key::of(Key).check();
   }
 
-  /// Returns true if the account \p Name holds a key with \p Check.
-  bool holds(std::string_view Name, std::uint32_t Check) const;
+  enum class key_state { Held, NotHeld, Withheld };
+
+  /// Returns the state of the key with \p Check of the account \p Name.
+  key_state stateOf(const std::string &Name, std::uint32_t Check) const;
+
+  /// Returns why accounts and keys are withheld. The texts name the accounts
+  /// and contain no key.
+  const std::vector<std::string> &faults() const { return Faults; }
 
   const std::map<std::string, client_account> &accounts() const {
     return ByName;
@@ -101,9 +121,14 @@
 
   explicit account_directory(bool IsRequired) : IsRequired(IsRequired) {}
 
+  void addKeys(const client_account &Account);
+
   bool IsRequired;
+  bool IsReadable = true;
+  bool KeysAreKnown = true;
+  std::vector<std::string> Faults;
   std::map<std::string, client_account> ByName;
-  /// Refers to the keys and accounts in ByName.
+  /// Refers to the keys and accounts in ByName; null for a withheld key.
   std::unordered_map<hashed_key, const client_account *, hash_of_key> ByKey;
   std::map<std::string, std::string> Regions;
 };
--- a/include/agatedale/account_gate.h
+++ b/include/agatedale/account_gate.h
@@ -42,7 +42,8 @@
 /// Finds the account of each request by its key. A key that is unknown may have
 /// been added after the configuration in force, so it is refused for good only
 /// once the configuration is confirmed as of the time at which the key was seen
-/// first.
+/// first. A key that has a fault, or may be one that cannot be read, is refused
+/// for now.
 ///
 ///   account_admission Found = Gate.admit(Directory, Key, Times);
 class account_gate {
@@ -52,6 +53,10 @@
   /// from it to the other VMs a heartbeat of 250 ms each.
   static constexpr duration ConfirmTime = std::chrono::milliseconds(1200);
 
+  /// The time that is told to callers whose account or key has a fault: only
+  /// another configuration mends that.
+  static constexpr duration UnusableTime = std::chrono::seconds(1);
+
   /// Within this time after its acknowledgement a configuration is in force
   /// everywhere; an older one refuses no unknown key for good.
   static constexpr duration MaxAge = std::chrono::seconds(3);
--- a/include/agatedale/configuration.h
+++ b/include/agatedale/configuration.h
@@ -56,6 +56,7 @@
 /// A service with the capacity and load reporting of its backend servers.
 struct service {
   std::string Name;
+  std::string Fault;        ///< Why it is sent nothing; empty if it is.
   int Slots = 2;            ///< Concurrent requests per server.
   int MaxConnections = 220; ///< Maximum connections per server.
   /// Successes before the limit of a cold server grows.
@@ -97,6 +98,9 @@
 /// Maps requests to a service and sets their time-outs and retry rules.
 struct route {
   std::string Name;
+  /// Why its requests are refused; empty if they are served. If host or prefix
+  /// are not known either, both are empty: see findRouteForHost().
+  std::string Fault;
   std::string PathPrefix;
   std::vector<std::string> Methods; ///< Empty for all.
   std::string Service;
@@ -125,6 +129,9 @@
 /// A client account; servers are shared fairly by weight.
 struct client_account {
   std::string Name;
+  std::string
+      Fault; ///< Why its requests are refused; empty if they are served.
+  bool KeysAreKnown = true; ///< False if Keys may lack some.
   int Weight = 1;
   std::vector<std::string> Homes; ///< Home regions; empty for any.
   std::vector<std::string> Keys;  ///< Secrets; written to no log or message.
@@ -157,10 +164,14 @@
   /// Absent if requests need no account. An empty list differs: no key is
   /// valid, and only requests of public routes are served.
   std::optional<std::vector<client_account>> Accounts;
+  /// Why the table of accounts cannot be read, if so; it has no entries then,
+  /// and requests that need an account are refused.
+  std::string AccountsFault;
   /// The directory of the accounts if it exists already; Accounts is then not
   /// read. Saves to build it again for the next servers.
   std::shared_ptr<const account_directory> Directory;
   caller_limits Callers;
+  std::string CallersFault; ///< Why some of Callers have their defaults.
   /// Maximum number of servers in a group.
   std::size_t GroupServers = MaxGroupServers;
 };
@@ -185,9 +196,9 @@
   static result<configuration> fromDocument(std::string_view Text,
                                             std::string_view Source);
 
-  /// Builds a configuration from decoded objects. A route to a service that
-  /// does not exist and an account with an unknown region are errors, and those
-  /// of account_directory::create().
+  /// Builds a configuration from decoded objects. The errors are those of
+  /// account_directory::create(); what is wrong with a single part is not an
+  /// error, see findFaults().
   static result<configuration> fromParts(configuration_parts Parts);
 
   /// Returns the merged TOML document, including the zone states.
@@ -233,12 +244,22 @@
   const route *findRoute(std::string_view Method, std::string_view Path) const;
 
   /// Returns the route of \p Host with the longest prefix that matches \p Path,
-  /// or null.
+  /// or null. A route whose host and prefix are not known may be that of any
+  /// request for which there is no other one.
   const route *findRouteForHost(std::string_view Host,
                                 std::string_view Path) const;
 
   const caller_limits &callers() const { return Callers; }
 
+  /// See configuration_parts::CallersFault.
+  const std::string &callersFault() const { return CallersFault; }
+
+  /// Returns why requests of \p Service are refused; empty if they are served.
+  std::string_view faultOfService(const std::string &Service) const;
+
+  /// Returns true if a zone of this deployment is in \p Region.
+  bool isRegionKnown(std::string_view Region) const;
+
   /// Returns the region of \p Zone, or an empty view if the zone is unknown.
   std::string_view regionOf(std::string_view Zone) const;
 
@@ -254,6 +275,7 @@
   std::map<std::string, std::string> Places;
   std::size_t GroupServers = MaxGroupServers;
   caller_limits Callers;
+  std::string CallersFault;
   std::vector<std::string> Regions;
   std::map<std::string, availability_zone> Zones;
   std::vector<region_link> Links;
--- /dev/null
+++ b/include/agatedale/configuration_faults.h
@@ -0,0 +1,21 @@
+/// \file
+/// Parts of a configuration whose requests are refused.
+#pragma once
+
+#include "agatedale/configuration.h"
+
+#include <string>
+#include <vector>
+
+namespace agatedale {
+
+/// Returns what is wrong with single parts of \p Config. The requests of such a
+/// part are refused as not run, and all others are served: a whole version that
+/// is not applied leaves in force what it withdraws. The texts name the part
+/// and contain no key of an account.
+///
+///   for (const std::string &Fault : findFaults(Config))
+///     log(Fault);
+std::vector<std::string> findFaults(const configuration &Config);
+
+} // namespace agatedale
--- a/include/agatedale/verdict.h
+++ b/include/agatedale/verdict.h
@@ -58,6 +58,9 @@
   /// The configuration is too old to tell whether the key was revoked.
   ConfigurationUnproven,
   RegionsDisjoint, ///< Route and account have no home region in common.
+  RegionUnknown,   ///< No zone is in the home regions.
+  RouteUnusable,   ///< The route or its service has a fault.
+  AccountUnusable, ///< The account or its key has a fault.
 };
 
 /// Returns the verdict on a request whose attempts ended with \p Earlier and
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -62,21 +62,6 @@
   }
 }
 
-namespace {
-
-/// Returns the first service of \p Route that is not in \p Services, or null.
-const std::string *
-unknownService(const route &Route,
-               const std::map<std::string, service> &Services) {
-  for (const weighted_service &Part : Route.Split) {
-    if (!Services.contains(Part.Service))
-      return &Part.Service;
-  }
-  return nullptr;
-}
-
-} // namespace
-
 result<configuration> configuration::fromParts(configuration_parts Parts) {
   configuration Config;
   for (availability_zone &Zone : Parts.Zones) {
@@ -87,30 +72,20 @@
   }
   for (service &Service : Parts.Services)
     Config.Services.emplace(Service.Name, Service);
-  for (const route &Route : Parts.Routes) {
-    if (const std::string *Unknown = unknownService(Route, Config.Services))
-      return error{error_kind::InvalidInput,
-                   fmt::format("route '{}' refers to unknown service '{}'",
-                               Route.Name, *Unknown)};
-  }
   if (Parts.Directory) {
     Config.Directory = std::move(Parts.Directory);
+  } else if (!Parts.AccountsFault.empty()) {
+    Config.Directory = account_directory::unreadable(Parts.AccountsFault);
   } else if (Parts.Accounts) {
     auto Built = account_directory::create(std::move(*Parts.Accounts));
     if (const error *Error = errorOf(Built))
       return *Error;
     Config.Directory = moveValue(std::move(Built));
   }
-  for (const auto &[Region, Account] : Config.Directory->regions()) {
-    if (std::find(Config.Regions.begin(), Config.Regions.end(), Region) ==
-        Config.Regions.end())
-      return error{error_kind::InvalidInput,
-                   fmt::format("account '{}' allows unknown region '{}'",
-                               Account, Region)};
-  }
   Config.Servers = std::move(Parts.Servers);
   Config.Routes = std::move(Parts.Routes);
   Config.Callers = Parts.Callers;
+  Config.CallersFault = std::move(Parts.CallersFault);
   Config.GroupServers = Parts.GroupServers;
   Config.buildGroups();
   return Config;
@@ -159,7 +134,10 @@
                                              std::string_view Path) const {
   const route *Longest = nullptr;
   for (const route &Route : Routes) {
-    if (!equalNames(Route.Host, Host) || !Path.starts_with(Route.PathPrefix))
+    const bool IsOfAnyHost = !Route.Fault.empty() && Route.Host.empty();
+    if (!IsOfAnyHost && !equalNames(Route.Host, Host))
+      continue;
+    if (!Path.starts_with(Route.PathPrefix))
       continue;
     if (!Longest || Route.PathPrefix.size() > Longest->PathPrefix.size())
       Longest = &Route;
@@ -167,6 +145,17 @@
   return Longest;
 }
 
+std::string_view
+configuration::faultOfService(const std::string &Service) const {
+  const auto Found = Services.find(Service);
+  return Found == Services.end() ? "the service does not exist"
+                                 : std::string_view(Found->second.Fault);
+}
+
+bool configuration::isRegionKnown(std::string_view Region) const {
+  return std::find(Regions.begin(), Regions.end(), Region) != Regions.end();
+}
+
 std::string_view configuration::regionOf(std::string_view Zone) const {
   const auto Found = Zones.find(std::string(Zone));
   return Found == Zones.end() ? std::string_view()
--- a/src/config/configuration_check.cpp
+++ b/src/config/configuration_check.cpp
@@ -2,6 +2,7 @@
 /// Entries without effect, contradicting limits and differences.
 #include "agatedale/configuration_check.h"
 #include "agatedale/account_directory.h"
+#include "agatedale/configuration_faults.h"
 #include "agatedale/http_message.h"
 
 #include <fmt/format.h>
@@ -69,6 +70,7 @@
   void checkRouteLimits(const route &Route);
   void checkAccount(const client_account &Account);
   void checkEmptyAccounts();
+  void checkFaults();
   void checkDrainedRegions();
   void checkRetries();
 
@@ -214,6 +216,13 @@
                         fmt::join(Public, ", ")));
 }
 
+/// A gateway applies such a configuration and refuses requests of these parts.
+void configuration_checker::checkFaults() {
+  for (std::string &Fault : findFaults(Config))
+    Findings.push_back(
+        {finding_severity::Error, finding_kind::Invalid, "", std::move(Fault)});
+}
+
 void configuration_checker::checkDrainedRegions() {
   string_set Homes;
   for (const route &Route : Config.routes())
@@ -253,6 +262,7 @@
 }
 
 std::vector<finding> configuration_checker::check() {
+  checkFaults();
   for (std::size_t I = 0; I < Config.routes().size(); ++I) {
     checkHidden(I);
     checkRegions(Config.routes()[I]);
--- a/src/config/configuration_reader.cpp
+++ b/src/config/configuration_reader.cpp
@@ -245,6 +245,11 @@
   if (const error *Error = errorOf(Built))
     return recordError(Error);
   Config.Directory = moveValue(std::move(Built));
+  if (!Config.Directory->faults().empty()) {
+    Failure =
+        error{error_kind::InvalidInput, Config.Directory->faults().front()};
+    return false;
+  }
   return true;
 }
 
--- a/src/core/accounts/account_directory.cpp
+++ b/src/core/accounts/account_directory.cpp
@@ -53,9 +53,6 @@
       new account_directory(true));
   std::size_t KeyCount = 0;
   for (client_account &Account : Accounts) {
-    if (const std::string Fault = faultOf(Account); !Fault.empty())
-      return error{error_kind::InvalidInput,
-                   fmt::format("account '{}': {}", Account.Name, Fault)};
     KeyCount += Account.Keys.size();
     const std::string Name = Account.Name;
     if (!Directory->ByName.emplace(Name, std::move(Account)).second)
@@ -63,37 +60,68 @@
                    fmt::format("account '{}' is listed twice", Name)};
   }
   Directory->ByKey.reserve(KeyCount);
-  for (const auto &[Name, Account] : Directory->ByName) {
+  for (auto &[Name, Account] : Directory->ByName) {
+    if (Account.Fault.empty())
+      Account.Fault = faultOf(Account);
+    if (!Account.Fault.empty())
+      Directory->Faults.push_back(
+          fmt::format("account '{}': {}", Name, Account.Fault));
+    Directory->KeysAreKnown &= Account.KeysAreKnown;
+    Directory->addKeys(Account);
     for (const std::string &Region : Account.Homes)
       Directory->Regions.emplace(Region, Name);
-    for (const std::string &Key : Account.Keys) {
-      const client_account *Held =
-          Directory->ByKey.emplace(hashed_key::of(Key), &Account).first->second;
-      if (Held != &Account)
-        return error{
-            error_kind::InvalidInput,
-            fmt::format("accounts '{}' (key {}) and '{}' (key {}) hold the "
-                        "same key",
-                        Held->Name, positionOf(Key, *Held), Name,
-                        positionOf(Key, Account))};
-    }
   }
   return std::shared_ptr<const account_directory>(Directory);
 }
 
+/// Adds the keys of \p Account. One that another account holds, too, belongs to
+/// neither of them.
+void account_directory::addKeys(const client_account &Account) {
+  const bool IsUsable = Account.Fault.empty();
+  for (const std::string &Key : Account.Keys) {
+    const auto [Known, IsNew] =
+        ByKey.emplace(hashed_key::of(Key), IsUsable ? &Account : nullptr);
+    const client_account *Other = Known->second;
+    if (IsNew || Other == &Account || (!Other && !IsUsable))
+      continue;
+    Known->second = nullptr;
+    Faults.push_back(
+        Other ? fmt::format("accounts '{}' (key {}) and '{}' (key {}) hold the "
+                            "same key",
+                            Other->Name, positionOf(Key, *Other), Account.Name,
+                            positionOf(Key, Account))
+              : fmt::format("account '{}': key {} is withheld for another one",
+                            Account.Name, positionOf(Key, Account)));
+  }
+}
+
+std::shared_ptr<const account_directory>
+account_directory::unreadable(std::string Why) {
+  const std::shared_ptr<account_directory> Directory(
+      new account_directory(true));
+  Directory->IsReadable = false;
+  Directory->KeysAreKnown = false;
+  Directory->Faults.push_back(std::move(Why));
+  return Directory;
+}
+
 std::shared_ptr<const account_directory> account_directory::none() {
   static const std::shared_ptr<const account_directory> None(
       new account_directory(false));
   return None;
 }
 
-bool account_directory::holds(std::string_view Name,
-                              std::uint32_t Check) const {
-  const client_account *Account = findByName(std::string(Name));
-  return Account && std::any_of(Account->Keys.begin(), Account->Keys.end(),
-                                [Check](const std::string &Key) {
-                                  return checkOf(Key) == Check;
-                                });
+account_directory::key_state
+account_directory::stateOf(const std::string &Name, std::uint32_t Check) const {
+  const client_account *Account = findByName(Name);
+  if (!Account)
+    return IsReadable ? key_state::NotHeld : key_state::Withheld;
+  const auto Key = std::find_if(
+      Account->Keys.begin(), Account->Keys.end(),
+      [Check](const std::string &Text) { return checkOf(Text) == Check; });
+  if (Key == Account->Keys.end())
+    return Account->KeysAreKnown ? key_state::NotHeld : key_state::Withheld;
+  return find(*Key) ? key_state::Held : key_state::Withheld;
 }
 
 const client_account *
--- a/src/core/accounts/account_gate.cpp
+++ b/src/core/accounts/account_gate.cpp
@@ -17,6 +17,8 @@
                                       const presented_key &Key,
                                       const times &Times) {
   using state = presented_key::state;
+  if (!Directory.isReadable())
+    return {nullptr, refusal_reason::AccountUnusable, UnusableTime, 0};
   if (Key.State == state::Missing)
     return {nullptr, refusal_reason::ClientKeyMissing, {}, 0};
   if (Key.State == state::Repeated)
@@ -24,6 +26,8 @@
   const hashed_key Hashed = hashed_key::of(Key.Value);
   if (const client_account *Account = Directory.find(Hashed))
     return {Account, refusal_reason::None, {}, Hashed.check()};
+  if (Directory.isWithheld(Hashed))
+    return {nullptr, refusal_reason::AccountUnusable, UnusableTime, 0};
   if (!isKeyText(Key.Value))
     return {nullptr, refusal_reason::ClientKeyMalformed, {}, 0};
   const bool IsOfArrival = Times.ConfigurationAsOf >= Times.ArrivedAt;
--- a/src/core/accounts/configuration_proof.cpp
+++ b/src/core/accounts/configuration_proof.cpp
@@ -70,8 +70,14 @@
   if (!IsOlder && !Own.Directory.requiresAccount())
     return refusal_reason::None;
   const bool IsNewer = Own.Version > Request.Version;
-  if (IsNewer && !Own.Directory.holds(Request.Account, Request.Check))
-    return refusal_reason::ClientKeyRevoked;
+  using key_state = account_directory::key_state;
+  const key_state Key =
+      IsNewer
+          ? Own.Directory.stateOf(std::string(Request.Account), Request.Check)
+          : key_state::Held;
+  if (Key != key_state::Held)
+    return Key == key_state::NotHeld ? refusal_reason::ClientKeyRevoked
+                                     : refusal_reason::AccountUnusable;
   const time_point OwnAsOf = IsOlder ? time_point{} : Own.AsOf;
   const time_point AsOf = std::max(Request.AsOf, OwnAsOf);
   return isWithin(1 - MarginShare, AsOf, Now)
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -4,6 +4,7 @@
 
 #include "../core/log.h"
 #include "agatedale/account_directory.h"
+#include "agatedale/configuration_faults.h"
 #include "agatedale/server_partition.h"
 #include "agatedale/snapshot_limiter.h"
 #include "platform/decode.h"
@@ -372,7 +373,7 @@
 }
 
 /// Decodes the configuration row if it has changed to a later version. The
-/// accounts are checked here, once for each version of the row.
+/// directory of the accounts is built here, once for each version of the row.
 std::optional<platform::versioned_configuration>
 fleet_state::decodeConfigurationRow() {
   const auto &Rows = Mirror.rows(store_table::Operators);
@@ -391,6 +392,11 @@
             {{"offered", Decoded.Version}, {"in_force", ActiveVersion}});
     return std::nullopt;
   }
+  if (!Decoded.Parts.AccountsFault.empty()) {
+    Decoded.Parts.Directory =
+        account_directory::unreadable(Decoded.Parts.AccountsFault);
+    return Decoded;
+  }
   if (!Decoded.Parts.Accounts) {
     Decoded.Parts.Directory = account_directory::none();
     return Decoded;
@@ -406,6 +412,15 @@
   return Decoded;
 }
 
+/// Logs the parts of the configuration in force whose requests are refused.
+void fleet_state::logFaults() {
+  const std::vector<std::string> Faults = findFaults(*View->Config);
+  FaultCount = Faults.size();
+  for (const std::string &Fault : Faults)
+    logLine(log_level::Error, "configuration-part-refused",
+            {{"version", ActiveVersion}, {"why", Fault}});
+}
+
 void fleet_state::logRefused(const error &Error) const {
   logLine(log_level::Error, "configuration-refused",
           {{"why", Error.Message}, {"in_force", ActiveVersion}});
@@ -554,6 +569,7 @@
       recordPeers();
       Proof.recordOwn(ActiveVersion, bootNow());
       putInForce(moveValue(std::move(Config)));
+      logFaults();
       return;
     }
   }
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -93,6 +93,9 @@
   /// Returns what peers may not know of the servers' registrations.
   std::vector<known_registration> registrationsToShare() const;
 
+  /// Returns how many parts of the configuration in force have a fault.
+  std::size_t configurationFaults() const { return FaultCount; }
+
   /// Returns how many rows held an older registration than one known before.
   std::uint64_t olderRegistrations() const { return OlderRegistrations; }
 
@@ -142,6 +145,7 @@
                     const std::vector<backend_server> &Servers,
                     const std::vector<availability_zone> &Zones) const;
   void putInForce(configuration Config);
+  void logFaults();
   void logRefused(const error &Error) const;
   std::vector<backend_server> decodeServers();
   void logOlderRegistrations();
@@ -167,6 +171,7 @@
   std::shared_ptr<const fleet_snapshot> View;
   std::optional<configuration_parts> ActiveParts;
   std::uint64_t ActiveVersion = 0;
+  std::size_t FaultCount = 0;   ///< Of the active version.
   std::size_t GroupServers = 0; ///< Of the active snapshot.
   store_version LastRowVersion;
   std::map<std::string, backend_server> LastServers;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -400,6 +400,8 @@
           .count();
   Metrics.setGauge("agatedale_configuration_version", {},
                    Snapshot ? static_cast<double>(Snapshot->Version) : 0);
+  Metrics.setGauge("agatedale_configuration_faults", {},
+                   static_cast<double>(FleetState->configurationFaults()));
   Metrics.setGauge("agatedale_store_age_seconds", {}, Age);
   Metrics.setGauge("agatedale_requests_in_progress", {}, Router->inProgress());
   Metrics.setGauge("agatedale_requests_dispatched", {},
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -52,6 +52,10 @@
 constexpr duration MinRetryAfter = std::chrono::milliseconds(50);
 constexpr duration MaxRetryAfter = std::chrono::seconds(5);
 
+/// Retry-After time of requests that only another configuration lets pass: the
+/// time in which one is in force.
+constexpr duration UnusableRetryAfter = std::chrono::seconds(1);
+
 constexpr int StatusUnauthorized = 401;
 constexpr int StatusTooManyRequests = 429;
 constexpr int StatusUnavailable = 503;
@@ -270,6 +274,9 @@
       Exchange->Request.Target);
   if (!Route)
     return Refuse(refusal_reason::NoRoute);
+  if (!Route->Fault.empty())
+    return refuseImmediately(
+        Exchange, {refusal_reason::RouteUnusable, UnusableRetryAfter});
   const account_admission Admission = admit(*Route, *Exchange);
   if (Admission.Reason != refusal_reason::None)
     return refuseImmediately(Exchange,
@@ -283,6 +290,22 @@
   place(Exchange, *Route, Admission);
 }
 
+/// Returns why the configuration lets no server of \p Service in \p Homes serve
+/// a request; None if it does.
+refusal_reason
+request_router::reasonNotToPlace(const std::string &Service,
+                                 std::span<const std::string> Homes) const {
+  const configuration &Config = *Snapshot->Config;
+  if (!Config.faultOfService(Service).empty())
+    return refusal_reason::RouteUnusable;
+  const bool HasKnownHome =
+      Homes.empty() ||
+      std::any_of(Homes.begin(), Homes.end(), [&](const std::string &Region) {
+        return Config.isRegionKnown(Region);
+      });
+  return HasKnownHome ? refusal_reason::None : refusal_reason::RegionUnknown;
+}
+
 /// Sends a request that was admitted to the owner of a server group.
 void request_router::place(const std::shared_ptr<caller_exchange> &Exchange,
                            const route &Route,
@@ -299,11 +322,19 @@
     refuseImmediately(Exchange, {refusal_reason::MemoryFull});
     return;
   }
+  const std::string &Service =
+      RouteSplits[Route.Name].next(Route.Split, Random);
+  const refusal_reason Unusable = reasonNotToPlace(Service, *Homes);
+  if (Unusable != refusal_reason::None) {
+    refuseImmediately(Exchange, {Unusable, UnusableRetryAfter, false,
+                                 Account ? Account->Name : ""});
+    return;
+  }
   const platform::request_metadata Terms = platform::readMetadata(Message);
   const auto ActiveRequest = std::make_shared<active_request>();
   ActiveRequest->Exchange = Exchange;
   ActiveRequest->ArrivedAt = Exchange->ArrivedAt;
-  ActiveRequest->Service = RouteSplits[Route.Name].next(Route.Split, Random);
+  ActiveRequest->Service = Service;
   ActiveRequest->HomeRegions = std::move(*Homes);
   forward_request &Request = ActiveRequest->Request;
   Request.Id = Terms.Id;
