Configuration: a version that cannot be applied ends what it supersedes

Cause: the proof of the configuration's age counts how recently the table was read, not whether its newest version is in force, and routes and readiness did not depend on it. Loss of contact is ruled out: requests ran for longer than the bound, so the proof was renewed. configuration-refused now has version, row, era and whether the version supersedes the one in force.

Change: superseded_configuration keeps that a later version was read. From then on the version in force is proven and current only as of the time before; it serves for 500 ms more and refuses nothing for good, then every request gets 503 with its connection closed and the VM is not ready. A later row that can be applied ends this, and after a restore of the store only one that is no older than the refused version. It works because no read of the table can renew what was frozen when the row was read. Metrics tell the refused version and for how long.

--- a/include/agatedale/verdict.h
+++ b/include/agatedale/verdict.h
@@ -61,6 +61,8 @@
   RegionUnknown,   ///< No zone is in the home regions.
   RouteUnusable,   ///< The route or its service has a fault.
   AccountUnusable, ///< The account or its key has a fault.
+  /// A later configuration was read that cannot be applied.
+  ConfigurationSuperseded,
 };
 
 /// Returns the verdict on a request whose attempts ended with \p Earlier and
--- a/src/core/verdict.cpp
+++ b/src/core/verdict.cpp
@@ -59,6 +59,8 @@
     refusal_row{refusal_reason::ConfigurationUnproven, "configuration-unproven",
                 503},
     refusal_row{refusal_reason::RegionsDisjoint, "regions-disjoint", 503},
+    refusal_row{refusal_reason::ConfigurationSuperseded,
+                "configuration-superseded", 503},
     refusal_row{refusal_reason::RegionUnknown, "region-unknown", 503},
     refusal_row{refusal_reason::RouteUnusable, "route-unusable", 503},
     refusal_row{refusal_reason::AccountUnusable, "account-unusable", 503},
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -67,8 +67,15 @@
   Proof.recordPeer(Version, bootNow());
 }
 
+superseded_configuration::times fleet_state::timesInForce() const {
+  return Superseded.timesInForce({Mirror.asOf(store_table::Operators),
+                                  Mirror.provenAsOf(store_table::Operators)});
+}
+
+time_point fleet_state::currentAsOf() const { return timesInForce().AsOf; }
+
 time_point fleet_state::provenAsOf() const {
-  return Proof.asOf(Mirror.provenAsOf(store_table::Operators), bootNow());
+  return Proof.asOf(timesInForce().ProvenAsOf, bootNow());
 }
 
 bool fleet_state::mayAdmitKeys() const {
@@ -333,6 +340,8 @@
 
 void fleet_state::apply(const table_update &Update) {
   logEra(Update);
+  TimesBefore = {Mirror.asOf(store_table::Operators),
+                 Mirror.provenAsOf(store_table::Operators)};
   const store_mirror::apply_result Result = Mirror.apply(Update);
   // The end of an outage starts the grace period, which rebuild() depends on.
   checkStoreAge();
@@ -372,46 +381,87 @@
   return Found == Rows.end() ? store_version() : Found->second.Version;
 }
 
-/// Decodes the configuration row if it has changed to a later version. The
-/// directory of the accounts is built here, once for each version of the row.
+/// Decodes a configuration row and builds the directory of its accounts, once
+/// for each version of the row.
+result<platform::versioned_configuration>
+fleet_state::decodeWithDirectory(std::string_view Value) const {
+  auto Read = platform::decodeConfiguration(Value);
+  if (const error *Error = errorOf(Read))
+    return *Error;
+  platform::versioned_configuration Decoded = moveValue(std::move(Read));
+  configuration_parts &Parts = Decoded.Parts;
+  if (!Parts.AccountsFault.empty()) {
+    Parts.Directory = account_directory::unreadable(Parts.AccountsFault);
+    return Decoded;
+  }
+  if (!Parts.Accounts) {
+    Parts.Directory = account_directory::none();
+    return Decoded;
+  }
+  auto Directory = account_directory::create(std::move(*Parts.Accounts));
+  Parts.Accounts.reset();
+  if (const error *Error = errorOf(Directory))
+    return *Error;
+  Parts.Directory = moveValue(std::move(Directory));
+  return Decoded;
+}
+
+/// Decodes the configuration row if it has changed to a later version.
 std::optional<platform::versioned_configuration>
 fleet_state::decodeConfigurationRow() {
   const auto &Rows = Mirror.rows(store_table::Operators);
-  const auto Row = Rows.find(std::string(platform::ConfigurationKey));
-  if (Row == Rows.end() || Row->second.Version == LastRowVersion)
+  const auto Found = Rows.find(std::string(platform::ConfigurationKey));
+  if (Found == Rows.end() || Found->second.Version == LastRowVersion)
     return std::nullopt;
-  LastRowVersion = Row->second.Version;
-  auto Read = platform::decodeConfiguration(Row->second.Value);
+  const stored_row &Row = Found->second;
+  LastRowVersion = Row.Version;
+  auto Read = decodeWithDirectory(Row.Value);
   if (const error *Error = errorOf(Read)) {
-    logRefused(*Error);
+    refuse(*Error, Row);
     return std::nullopt;
   }
   platform::versioned_configuration Decoded = moveValue(std::move(Read));
+  settleSuperseded(Row, Decoded.Version);
   if (Decoded.Version <= ActiveVersion && ActiveParts) {
     logLine(log_level::Warning, "configuration-older",
             {{"offered", Decoded.Version}, {"in_force", ActiveVersion}});
     return std::nullopt;
   }
-  if (!Decoded.Parts.AccountsFault.empty()) {
-    Decoded.Parts.Directory =
-        account_directory::unreadable(Decoded.Parts.AccountsFault);
-    return Decoded;
-  }
-  if (!Decoded.Parts.Accounts) {
-    Decoded.Parts.Directory = account_directory::none();
-    return Decoded;
-  }
-  auto Directory =
-      account_directory::create(std::move(*Decoded.Parts.Accounts));
-  Decoded.Parts.Accounts.reset();
-  if (const error *Error = errorOf(Directory)) {
-    logRefused(*Error);
-    return std::nullopt;
-  }
-  Decoded.Parts.Directory = moveValue(std::move(Directory));
   return Decoded;
 }
 
+/// Records a version that cannot be applied, unless it is older than the one in
+/// force.
+void fleet_state::refuse(const error &Error, const stored_row &Row) {
+  const auto Read = platform::decodeConfigurationVersion(Row.Value);
+  std::optional<std::uint64_t> Number;
+  if (!errorOf(Read))
+    Number = valueOf(Read);
+  const bool IsOlder = Number && *Number <= ActiveVersion && ActiveParts;
+  if (!IsOlder)
+    Superseded.record({Row.Version, Number}, TimesBefore, bootNow());
+  logLine(log_level::Error, "configuration-refused",
+          {{"why", Error.Message},
+           {"version", Number.value_or(0)},
+           {"row", Row.Version.Number},
+           {"era", Row.Version.Era},
+           {"in_force", ActiveVersion},
+           {"supersedes", !IsOlder}});
+}
+
+/// Ends the time in which the active version is superseded if \p Row, which
+/// holds \p Version, is the store's newest.
+void fleet_state::settleSuperseded(const stored_row &Row,
+                                   std::uint64_t Version) {
+  if (!Superseded.refused())
+    return;
+  const duration Age = Superseded.age(bootNow());
+  Superseded.settle(Row.Version, Version, ActiveVersion);
+  if (!Superseded.refused())
+    logLine(log_level::Info, "configuration-settled",
+            {{"version", Version}, {"superseded_ms", toMillis(Age)}});
+}
+
 /// Logs the parts of the configuration in force whose requests are refused.
 void fleet_state::logFaults() {
   const std::vector<std::string> Faults = findFaults(*View->Config);
@@ -421,11 +471,6 @@
             {{"version", ActiveVersion}, {"why", Fault}});
 }
 
-void fleet_state::logRefused(const error &Error) const {
-  logLine(log_level::Error, "configuration-refused",
-          {{"why", Error.Message}, {"in_force", ActiveVersion}});
-}
-
 std::vector<availability_zone> fleet_state::zones() {
   std::map<std::string, availability_zone> Zones;
   for (const auto &[Name, Region] : Settings.Zones)
@@ -520,13 +565,15 @@
   return List;
 }
 
-result<configuration> fleet_state::makeConfiguration(
-    configuration_parts Parts, const std::vector<backend_server> &Servers,
-    const std::vector<availability_zone> &Zones) const {
-  Parts.Servers = Servers;
-  Parts.Zones = Zones;
+/// Builds the active configuration with the servers and zones of now. Its parts
+/// hold the directory of accounts, without which nothing can fail.
+configuration fleet_state::makeConfiguration() {
+  configuration_parts Parts = *ActiveParts;
+  Parts.Servers = decodeServers();
+  Parts.Zones = zones();
+  GroupServers = maxGroupServers(listedVms());
   Parts.GroupServers = GroupServers;
-  return configuration::fromParts(std::move(Parts));
+  return moveValue(configuration::fromParts(std::move(Parts)));
 }
 
 void fleet_state::putInForce(configuration Config) {
@@ -543,43 +590,35 @@
   Proof.recordPeers(!Vms.otherVms().empty(), bootNow());
 }
 
-/// Puts the newest configuration in force with the servers and zones of now. A
-/// version that is refused changes nothing but these.
+void fleet_state::activate(platform::versioned_configuration Newer) {
+  logLine(
+      log_level::Info, "configuration-in-force",
+      {{"version", Newer.Version},
+       {"before", ActiveVersion},
+       {"accounts", Newer.Parts.Directory->accounts().size()},
+       {"account_required", Newer.Parts.Directory->requiresAccount()},
+       {"age_ms", toMillis(bootNow() - Mirror.asOf(store_table::Operators))}});
+  ActiveParts = std::move(Newer.Parts);
+  ActiveVersion = Newer.Version;
+  recordPeers();
+  Proof.recordOwn(ActiveVersion, bootNow());
+}
+
+/// Puts the newest configuration that can be applied in force with the servers
+/// and zones of now.
 void fleet_state::rebuild() {
   auto Newer = decodeConfigurationRow();
-  const std::vector<backend_server> Servers = decodeServers();
-  if (!Newer && !ActiveParts)
+  const bool IsNewer = Newer.has_value();
+  if (Newer)
+    activate(std::move(*Newer));
+  if (!ActiveParts) {
+    // Learns which servers there are.
+    decodeServers();
     return;
-  const std::vector<availability_zone> Zones = zones();
-  GroupServers = maxGroupServers(listedVms());
-  if (Newer) {
-    auto Config = makeConfiguration(Newer->Parts, Servers, Zones);
-    if (const error *Error = errorOf(Config)) {
-      logRefused(*Error);
-    } else {
-      logLine(log_level::Info, "configuration-in-force",
-              {{"version", Newer->Version},
-               {"before", ActiveVersion},
-               {"accounts", Newer->Parts.Directory->accounts().size()},
-               {"account_required", Newer->Parts.Directory->requiresAccount()},
-               {"age_ms",
-                toMillis(bootNow() - Mirror.asOf(store_table::Operators))}});
-      ActiveParts = std::move(Newer->Parts);
-      ActiveVersion = Newer->Version;
-      recordPeers();
-      Proof.recordOwn(ActiveVersion, bootNow());
-      putInForce(moveValue(std::move(Config)));
-      logFaults();
-      return;
-    }
   }
-  if (!ActiveParts)
-    return;
-  auto Config = makeConfiguration(*ActiveParts, Servers, Zones);
-  if (const error *Error = errorOf(Config))
-    logRefused(*Error);
-  else
-    putInForce(moveValue(std::move(Config)));
+  putInForce(makeConfiguration());
+  if (IsNewer)
+    logFaults();
 }
 
 } // namespace agatedale
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -10,6 +10,7 @@
 #include "agatedale/server_registrations.h"
 #include "agatedale/store_follower.h"
 #include "agatedale/store_mirror.h"
+#include "agatedale/superseded_configuration.h"
 #include "agatedale/vm_directory.h"
 #include "decoded_rows.h"
 #include "fleet_snapshot.h"
@@ -27,7 +28,8 @@
 
 /// Replicates the store, from its own reads or from updates relayed by peers,
 /// and decodes the rows into a fleet snapshot. The active configuration version
-/// never decreases, whatever the store returns.
+/// never decreases, whatever the store returns. A version that cannot be
+/// applied supersedes the active one, see superseded().
 ///
 ///   State.tick();
 ///   State.applyPeerUpdate(Update);
@@ -69,6 +71,12 @@
     return !Mirror.position(store_table::Vms).isKnown() && !IsZoneRead;
   }
 
+  /// Returns whether a later configuration cannot be applied, and what follows.
+  const superseded_configuration &superseded() const { return Superseded; }
+
+  /// Returns the time as of which the configuration in force is current.
+  time_point currentAsOf() const;
+
   /// Records the version of the configuration that a peer has in force.
   void recordPeerConfiguration(std::uint64_t Version);
 
@@ -140,13 +148,15 @@
   void logEra(const table_update &Update) const;
   void rebuild();
   std::optional<platform::versioned_configuration> decodeConfigurationRow();
-  result<configuration>
-  makeConfiguration(configuration_parts Parts,
-                    const std::vector<backend_server> &Servers,
-                    const std::vector<availability_zone> &Zones) const;
+  result<platform::versioned_configuration>
+  decodeWithDirectory(std::string_view Value) const;
+  void settleSuperseded(const stored_row &Row, std::uint64_t Version);
+  superseded_configuration::times timesInForce() const;
+  void activate(platform::versioned_configuration Newer);
+  configuration makeConfiguration();
   void putInForce(configuration Config);
   void logFaults();
-  void logRefused(const error &Error) const;
+  void refuse(const error &Error, const stored_row &Row);
   std::vector<backend_server> decodeServers();
   void logOlderRegistrations();
   std::vector<availability_zone> zones();
@@ -174,6 +184,9 @@
   std::size_t FaultCount = 0;   ///< Of the active version.
   std::size_t GroupServers = 0; ///< Of the active snapshot.
   store_version LastRowVersion;
+  superseded_configuration Superseded;
+  /// Of the operators' table before the update that is applied.
+  superseded_configuration::times TimesBefore;
   std::map<std::string, backend_server> LastServers;
   decoded_rows<backend_server> ServerRows;
   decoded_rows<entry_vm> VmRows;
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -191,6 +191,7 @@
   void removeSelf();
   void updateReady();
   bool isReady() const;
+  bool servesCallers() const;
   void checkStop();
   stop_work remainingWork() const;
   void enter(stop_phase Phase);
@@ -321,10 +322,8 @@
   CallerListener = moveValue(std::move(CallersResult));
   auto ReadinessResult =
       listener::open(*Loop, Settings.ReadinessAddress, [this](auto Exchange) {
-        // Peers still forward requests to a VM without proof: the proof of
-        // the VM that admitted them goes along.
-        const bool Serves = isReady() && FleetState->mayAdmitKeys();
-        Exchange->respond({Serves ? StatusOk : StatusUnavailable, {}, ""});
+        Exchange->respond(
+            {servesCallers() ? StatusOk : StatusUnavailable, {}, ""});
       });
   if (const error *Error = errorOf(ReadinessResult))
     return *Error;
@@ -353,8 +352,12 @@
 void gateway_node::impl::setConfigurationAge() {
   request_router::configuration_age Age;
   Age.IsProofNeeded = FleetState->proof().isStrict();
-  Age.AsOf = [this] {
-    return FleetState->mirror().asOf(store_table::Operators);
+  Age.AsOf = [this] { return FleetState->currentAsOf(); };
+  Age.IsSuperseded = [this] {
+    return FleetState->superseded().refused().has_value();
+  };
+  Age.MayServe = [this] {
+    return FleetState->superseded().mayServe(bootNow());
   };
   Age.ProvenAsOf = [this] { return FleetState->provenAsOf(); };
   Age.MayAdmitKeys = [this] { return FleetState->mayAdmitKeys(); };
@@ -400,6 +403,14 @@
           .count();
   Metrics.setGauge("agatedale_configuration_version", {},
                    Snapshot ? static_cast<double>(Snapshot->Version) : 0);
+  const superseded_configuration &Superseded = FleetState->superseded();
+  const auto &Refused = Superseded.refused();
+  Metrics.setGauge(
+      "agatedale_configuration_superseded_seconds", {},
+      std::chrono::duration<double>(Superseded.age(bootNow())).count());
+  Metrics.setGauge("agatedale_configuration_refused_version", {},
+                   Refused ? static_cast<double>(Refused->Number.value_or(0))
+                           : 0);
   Metrics.setGauge("agatedale_configuration_faults", {},
                    static_cast<double>(FleetState->configurationFaults()));
   Metrics.setGauge("agatedale_store_age_seconds", {}, Age);
@@ -435,8 +446,7 @@
       std::chrono::duration<double>(
           bootNow() - FleetState->mirror().provenAsOf(store_table::Operators))
           .count());
-  Metrics.setGauge("agatedale_ready", {},
-                   isReady() && FleetState->mayAdmitKeys() ? 1 : 0);
+  Metrics.setGauge("agatedale_ready", {}, servesCallers() ? 1 : 0);
 }
 
 void gateway_node::impl::setTrafficGauges() {
@@ -922,6 +932,14 @@
   return !Stopping && FleetState->isServing();
 }
 
+/// Returns true if callers may be sent here. Peers still forward requests to a
+/// VM that is ready and serves no callers: what the VM that admitted them knows
+/// of the configuration goes along.
+bool gateway_node::impl::servesCallers() const {
+  return isReady() && FleetState->mayAdmitKeys() &&
+         FleetState->superseded().mayServe(bootNow());
+}
+
 void gateway_node::impl::updateReady() { Vms.setSelf(isReady(), Stopping); }
 
 void gateway_node::impl::beginStop() {
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -222,6 +222,15 @@
   Exchange->respond(Response, Refusal.Close);
 }
 
+/// Refuses a request that a configuration allows or forbids which cannot be
+/// applied here; another VM may be able to.
+void request_router::refuseSuperseded(
+    const std::shared_ptr<caller_exchange> &Exchange) {
+  arrival_refusal Refusal{refusal_reason::ConfigurationSuperseded};
+  Refusal.Close = true;
+  refuseImmediately(Exchange, Refusal);
+}
+
 /// Counts a refusal, and apart from that by account: the reasons that have no
 /// account are watched as before.
 void request_router::countRefusal(refusal_reason Reason,
@@ -269,11 +278,14 @@
   if (!Snapshot || IsEnding)
     return Refuse(IsEnding ? refusal_reason::Stopping
                            : refusal_reason::NotReady);
+  if (!Age.MayServe())
+    return refuseSuperseded(Exchange);
   const route *Route = Snapshot->Config->findRouteForHost(
       hostName(Exchange->Request.Headers.get("Host")),
       Exchange->Request.Target);
   if (!Route)
-    return Refuse(refusal_reason::NoRoute);
+    return Age.IsSuperseded() ? refuseSuperseded(Exchange)
+                              : Refuse(refusal_reason::NoRoute);
   if (!Route->Fault.empty())
     return refuseImmediately(
         Exchange, {refusal_reason::RouteUnusable, UnusableRetryAfter});
--- a/src/gateway/request_router.h
+++ b/src/gateway/request_router.h
@@ -63,6 +63,10 @@
   struct configuration_age {
     /// Returns the time as of which the configuration is current.
     std::function<time_point()> AsOf;
+    /// Returns true if a later configuration cannot be applied.
+    std::function<bool()> IsSuperseded;
+    /// Returns true if the configuration may serve requests all the same.
+    std::function<bool()> MayServe;
     /// Returns the time as of which it is proven; zero if it is not.
     std::function<time_point()> ProvenAsOf;
     /// Returns true if requests with keys may be served.
@@ -135,6 +139,7 @@
   ageOfCaller(const std::string &Route,
               std::optional<std::chrono::milliseconds> TimeLeft);
   void retainRouteSplits();
+  void refuseSuperseded(const std::shared_ptr<caller_exchange> &Exchange);
   account_admission admit(const route &Route, caller_exchange &Exchange);
   refusal_reason reasonNotToPlace(const std::string &Service,
                                   std::span<const std::string> Homes) const;
--- /dev/null
+++ b/tests/unit/superseded_configuration_test.cpp
@@ -0,0 +1,108 @@
+/// \file
+/// Tests of what is in force while a later version cannot be applied.
+#include "agatedale/superseded_configuration.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace agatedale;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+BOOST_AUTO_TEST_SUITE(superseded_configuration_test)
+
+namespace {
+
+constexpr time_point Start{std::chrono::hours(1)};
+constexpr std::uint64_t InForce = 7;
+constexpr superseded_configuration::times Before{Start - milliseconds(200),
+                                                 Start - milliseconds(700)};
+
+/// Version 7 is in force, and version 9 in row 20 of era 1 was refused.
+superseded_configuration supersededBy(std::optional<std::uint64_t> Number) {
+  superseded_configuration Superseded;
+  Superseded.record({{1, 20}, Number}, Before, Start);
+  return Superseded;
+}
+
+bool settles(std::optional<std::uint64_t> Refused, store_version Row,
+             std::uint64_t Number) {
+  superseded_configuration Superseded = supersededBy(Refused);
+  Superseded.settle(Row, Number, InForce);
+  return !Superseded.refused();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(WithoutARefusedVersionEverythingIsInForce) {
+  const superseded_configuration Superseded;
+  BOOST_TEST(Superseded.mayServe(Start));
+  BOOST_TEST(!Superseded.refused());
+  BOOST_TEST((Superseded.age(Start) == duration::zero()));
+  const auto Times = Superseded.timesInForce({Start, Start});
+  BOOST_TEST((Times.AsOf == Start));
+  BOOST_TEST((Times.ProvenAsOf == Start));
+}
+
+// Guards against dropped routes that are served for as long as a version that
+// cannot be applied lasts.
+BOOST_AUTO_TEST_CASE(VersionInForceServesForAShortTimeOnly) {
+  const auto Superseded = supersededBy(9);
+  const time_point End = Start + superseded_configuration::ServeTime;
+  BOOST_TEST(Superseded.mayServe(End - milliseconds(1)));
+  BOOST_TEST(!Superseded.mayServe(End));
+  BOOST_TEST(!Superseded.mayServe(End + std::chrono::hours(1)));
+  BOOST_TEST((Superseded.age(End) == superseded_configuration::ServeTime));
+}
+
+// Guards against a proof that is renewed by reads of a table whose newest
+// version is not in force.
+BOOST_AUTO_TEST_CASE(ReadsOfTheTableProveTheVersionInForceNoLonger) {
+  const auto Superseded = supersededBy(9);
+  const time_point Later = Start + seconds(2);
+  const auto Times = Superseded.timesInForce({Later, Later});
+  BOOST_TEST((Times.AsOf == Before.AsOf));
+  BOOST_TEST((Times.ProvenAsOf == Before.ProvenAsOf));
+}
+
+// Guards against a series of refused versions that renews the time.
+BOOST_AUTO_TEST_CASE(SecondRefusedVersionProlongsNothing) {
+  auto Superseded = supersededBy(9);
+  const time_point Later = Start + milliseconds(400);
+  Superseded.record({{1, 21}, std::nullopt}, {Later, Later}, Later);
+  BOOST_TEST(!Superseded.mayServe(Start + superseded_configuration::ServeTime));
+  const auto Times = Superseded.timesInForce({Later, Later});
+  BOOST_TEST((Times.ProvenAsOf == Before.ProvenAsOf));
+  BOOST_TEST((Superseded.refused()->Row == store_version{1, 21}));
+}
+
+// Guards against a fleet that serves nobody after the correction.
+BOOST_AUTO_TEST_CASE(LaterRowSettlesWhateverItsNumber) {
+  for (const std::optional<std::uint64_t> Refused :
+       {std::optional<std::uint64_t>(9), std::optional<std::uint64_t>()}) {
+    BOOST_TEST(settles(Refused, {1, 21}, 10));
+    BOOST_TEST(settles(Refused, {1, 21}, 8));
+    BOOST_TEST(settles(Refused, {1, 21}, InForce));
+    BOOST_TEST(!settles(Refused, {1, 21}, InForce - 1));
+  }
+}
+
+// Guards against a restored store that lacks the refused version.
+BOOST_AUTO_TEST_CASE(CopyOlderThanTheRefusedVersionSettlesNothing) {
+  BOOST_TEST(!settles(9, {2, 12}, InForce));
+  BOOST_TEST(!settles(9, {2, 12}, 8));
+  BOOST_TEST(settles(9, {2, 12}, 9));
+  BOOST_TEST(settles(9, {2, 12}, 10));
+  BOOST_TEST(!settles(std::nullopt, {2, 12}, InForce));
+  BOOST_TEST(settles(std::nullopt, {2, 12}, 8));
+}
+
+BOOST_AUTO_TEST_CASE(RefusedVersionAfterACorrectionBeginsAnew) {
+  auto Superseded = supersededBy(9);
+  Superseded.settle({1, 21}, 10, InForce);
+  const time_point Later = Start + seconds(9);
+  Superseded.record({{1, 22}, 11}, {Later, Later}, Later);
+  BOOST_TEST(Superseded.mayServe(Later));
+  BOOST_TEST((Superseded.timesInForce({Later, Later}).ProvenAsOf == Later));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
