Rollouts: an order that cannot be read does not end the rollout

Callers saw: after a version of a service had been rolled back, requests were sent to it again when the operators' next order for the service could not be read.

Cause: the same as that of the versions of the configuration: a row that cannot be read counted as withdrawn. Without an order, all versions of a service are alike.

Change: while the row cannot be read, the order before it goes on with its outcome. A VM that starts beside such a row has no order before it; this remains.

Evidence: unreadable_order_does_not_end_a_rollout failed on the code before (6 requests to the new version, expected 4) and passes now.

--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -492,24 +492,36 @@
   return List;
 }
 
-/// Returns the readable orders of rollouts.
+/// Returns the orders of rollouts. One that cannot be read is in place of the
+/// order before it: without any, the new version would be sent its full share.
 std::vector<rollout_order> fleet_state::rollouts() {
-  std::vector<rollout_order> Orders;
   if (!Settings.Rollouts)
-    return Orders;
+    return {};
+  std::map<std::string, rollout_order> Orders;
   for (const auto &[Key, Row] : Mirror.rows(store_table::Operators)) {
     if (!platform::isRolloutKey(Key))
       continue;
     const result<rollout_order> Order = platform::decodeRolloutOrder(Row);
-    if (const error *Error = errorOf(Order)) {
-      if (std::exchange(UnreadableOrders[Key], Row.Version) != Row.Version)
-        logLine(log_level::Error, "row-decode-failed",
-                {{"why", Error->Message}});
+    const error *Error = errorOf(Order);
+    if (!Error) {
+      Orders.emplace(Key, valueOf(Order));
       continue;
     }
-    Orders.push_back(valueOf(Order));
+    const auto Before = LastOrders.find(Key);
+    if (std::exchange(UnreadableOrders[Key], Row.Version) != Row.Version)
+      logLine(
+          log_level::Error, "row-decode-failed",
+          {{"why", Error->Message},
+           {"order_kept", Before != LastOrders.end() ? Before->second.Id : 0}});
+    if (Before != LastOrders.end())
+      Orders.insert(*Before);
   }
-  return Orders;
+  LastOrders = std::move(Orders);
+  std::vector<rollout_order> List;
+  List.reserve(LastOrders.size());
+  for (const auto &[Key, Order] : LastOrders)
+    List.push_back(Order);
+  return List;
 }
 
 void fleet_state::retainExpiredServers(
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -199,6 +199,7 @@
   restored_servers RestoredServers;
   restored_vms RestoredVms;
   configuration_catch_up CatchUp;
+  std::map<std::string, rollout_order> LastOrders; ///< By the row's key.
   /// Versions of the orders of rollouts that could not be read, so that each
   /// is logged once.
   std::map<std::string, store_version> UnreadableOrders;
