--- a/include/agatedale/account_gate.h
+++ b/include/agatedale/account_gate.h
@@ -53,10 +53,6 @@
   /// from it to the other VMs a heartbeat of 250 ms each.
   static constexpr duration ConfirmTime = std::chrono::milliseconds(1200);
 
-  /// The time that is told to callers whose account or key has a fault: only
-  /// another configuration mends that.
-  static constexpr duration UnusableTime = std::chrono::seconds(1);
-
   /// Within this time after its acknowledgement a configuration is in force
   /// everywhere; an older one refuses no unknown key for good.
   static constexpr duration MaxAge = std::chrono::seconds(3);
--- a/include/agatedale/configuration.h
+++ b/include/agatedale/configuration.h
@@ -56,7 +56,8 @@
 /// A service with the capacity and load reporting of its backend servers.
 struct service {
   std::string Name;
-  std::string Fault;        ///< Why it is sent nothing; empty if it is.
+  /// Why requests for it are refused; empty if they are served.
+  std::string Fault;
   int Slots = 2;            ///< Concurrent requests per server.
   int MaxConnections = 220; ///< Maximum connections per server.
   /// Successes before the limit of a cold server grows.
@@ -98,8 +99,8 @@
 /// Maps requests to a service and sets their time-outs and retry rules.
 struct route {
   std::string Name;
-  /// Why its requests are refused; empty if they are served. If host or prefix
-  /// are not known either, both are empty: see findRouteForHost().
+  /// Why its requests are refused; empty if they are served. If the host or the
+  /// prefix is not known, both are empty: see findRouteForHost().
   std::string Fault;
   std::string PathPrefix;
   std::vector<std::string> Methods; ///< Empty for all.
@@ -129,8 +130,8 @@
 /// A client account; servers are shared fairly by weight.
 struct client_account {
   std::string Name;
-  std::string
-      Fault; ///< Why its requests are refused; empty if they are served.
+  /// Why its requests are refused; empty if they are served.
+  std::string Fault;
   bool KeysAreKnown = true; ///< False if Keys may lack some.
   int Weight = 1;
   std::vector<std::string> Homes; ///< Home regions; empty for any.
--- a/include/agatedale/configuration_faults.h
+++ b/include/agatedale/configuration_faults.h
@@ -9,10 +9,10 @@
 
 namespace agatedale {
 
-/// Returns what is wrong with single parts of \p Config. The requests of such a
-/// part are refused as not run, and all others are served: a whole version that
-/// is not applied leaves in force what it withdraws. The texts name the part
-/// and contain no key of an account.
+/// Returns what is wrong with single parts of \p Config. Requests of such a
+/// part are refused as not run, and all others are served. Refusing the whole
+/// version instead would leave in force what it withdraws. The texts name the
+/// part and contain no key of an account.
 ///
 ///   for (const std::string &Fault : findFaults(Config))
 ///     log(Fault);
--- a/include/agatedale/retry_after.h
+++ b/include/agatedale/retry_after.h
@@ -10,6 +10,10 @@
 /// are refused at the same time do not retry at the same time.
 constexpr double RetryAfterJitter = 0.3;
 
+/// Retry-After time of requests that a fault in the configuration keeps from
+/// being served: a corrected version needs about this time to be in force.
+constexpr duration FaultRetryAfter = std::chrono::seconds(1);
+
 /// Limits the estimate \p BacklogTime to what a caller with \p TimeLeft honours
 /// after the jitter is added: a third of its time. Callers that are told more
 /// all return after exactly a third. They arrive together, and as they state
--- a/src/core/accounts/account_gate.cpp
+++ b/src/core/accounts/account_gate.cpp
@@ -2,6 +2,7 @@
 /// Refusals for keys, and the memory of unknown ones.
 #include "agatedale/account_gate.h"
 #include "agatedale/entry_vm.h"
+#include "agatedale/retry_after.h"
 
 #include <algorithm>
 
@@ -18,7 +19,7 @@
                                       const times &Times) {
   using state = presented_key::state;
   if (!Directory.isReadable())
-    return {nullptr, refusal_reason::AccountUnusable, UnusableTime, 0};
+    return {nullptr, refusal_reason::AccountUnusable, FaultRetryAfter, 0};
   if (Key.State == state::Missing)
     return {nullptr, refusal_reason::ClientKeyMissing, {}, 0};
   if (Key.State == state::Repeated)
@@ -27,7 +28,7 @@
   if (const client_account *Account = Directory.find(Hashed))
     return {Account, refusal_reason::None, {}, Hashed.check()};
   if (Directory.isWithheld(Hashed))
-    return {nullptr, refusal_reason::AccountUnusable, UnusableTime, 0};
+    return {nullptr, refusal_reason::AccountUnusable, FaultRetryAfter, 0};
   if (!isKeyText(Key.Value))
     return {nullptr, refusal_reason::ClientKeyMalformed, {}, 0};
   const bool IsOfArrival = Times.ConfigurationAsOf >= Times.ArrivedAt;
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -52,10 +52,6 @@
 constexpr duration MinRetryAfter = std::chrono::milliseconds(50);
 constexpr duration MaxRetryAfter = std::chrono::seconds(5);
 
-/// Retry-After time of requests that only another configuration lets pass: the
-/// time in which one is in force.
-constexpr duration UnusableRetryAfter = std::chrono::seconds(1);
-
 constexpr int StatusUnauthorized = 401;
 constexpr int StatusTooManyRequests = 429;
 constexpr int StatusUnavailable = 503;
@@ -222,8 +218,8 @@
   Exchange->respond(Response, Refusal.Close);
 }
 
-/// Refuses a request that a configuration allows or forbids which cannot be
-/// applied here; another VM may be able to.
+/// Refuses a request because a later configuration, which may allow or forbid
+/// it, cannot be applied here. Another VM may be able to.
 void request_router::refuseSuperseded(
     const std::shared_ptr<caller_exchange> &Exchange) {
   arrival_refusal Refusal{refusal_reason::ConfigurationSuperseded};
@@ -287,8 +283,8 @@
     return Age.IsSuperseded() ? refuseSuperseded(Exchange)
                               : Refuse(refusal_reason::NoRoute);
   if (!Route->Fault.empty())
-    return refuseImmediately(
-        Exchange, {refusal_reason::RouteUnusable, UnusableRetryAfter});
+    return refuseImmediately(Exchange,
+                             {refusal_reason::RouteUnusable, FaultRetryAfter});
   const account_admission Admission = admit(*Route, *Exchange);
   if (Admission.Reason != refusal_reason::None)
     return refuseImmediately(Exchange,
@@ -338,7 +334,7 @@
       RouteSplits[Route.Name].next(Route.Split, Random);
   const refusal_reason Unusable = reasonNotToPlace(Service, *Homes);
   if (Unusable != refusal_reason::None) {
-    refuseImmediately(Exchange, {Unusable, UnusableRetryAfter, false,
+    refuseImmediately(Exchange, {Unusable, FaultRetryAfter, false,
                                  Account ? Account->Name : ""});
     return;
   }
--- a/tests/unit/superseded_configuration_test.cpp
+++ b/tests/unit/superseded_configuration_test.cpp
@@ -1,5 +1,7 @@
 /// \file
 /// Tests of what is in force while a later version cannot be applied.
+#include "agatedale/account_directory.h"
+#include "agatedale/configuration_proof.h"
 #include "agatedale/superseded_configuration.h"
 
 #include <boost/test/unit_test.hpp>
@@ -105,4 +107,31 @@
   BOOST_TEST((Superseded.timesInForce({Later, Later}).ProvenAsOf == Later));
 }
 
+// Guards against requests of callers that sent them before, and of peers that
+// have the later version in force, being judged by the superseded one.
+BOOST_AUTO_TEST_CASE(RequestsThatWereAdmittedAreJudgedByTheirOwnProof) {
+  constexpr milliseconds Bound(5000);
+  auto Proof = configuration_proof::create(Bound);
+  Proof.recordOwn(InForce, Start - seconds(60));
+  client_account Account;
+  Account.Name = "acme";
+  Account.Keys = {"k1"};
+  const auto Directory = valueOf(account_directory::create({Account}));
+  const auto Superseded = supersededBy(9);
+  const auto ReasonOf = [&](const admitted_key &Request, time_point Now) {
+    const time_point AsOf = Superseded.timesInForce({Now, Now}).ProvenAsOf;
+    return Proof.reasonNotToRun(Request, {*Directory, InForce, AsOf}, Now);
+  };
+  const std::uint32_t Check = account_directory::checkOf("k1");
+  const admitted_key Waiting{"acme", Check, InForce, Before.ProvenAsOf};
+  BOOST_TEST((ReasonOf(Waiting, Start + seconds(1)) == refusal_reason::None));
+  BOOST_TEST((ReasonOf(Waiting, Before.ProvenAsOf + Bound) ==
+              refusal_reason::ConfigurationUnproven));
+  const time_point Later = Start + seconds(60);
+  const admitted_key OfPeer{"new", Check, 9, Later - seconds(1)};
+  BOOST_TEST((ReasonOf(OfPeer, Later) == refusal_reason::None));
+  BOOST_TEST((ReasonOf(OfPeer, Later - seconds(1) + Bound) ==
+              refusal_reason::ConfigurationUnproven));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
