--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -493,36 +493,25 @@
   return List;
 }
 
-/// Returns the orders of rollouts. One that cannot be read is in place of the
-/// order before it: without any, the new version would be sent its full share.
+/// Returns the orders of rollouts that are in force.
 std::vector<rollout_order> fleet_state::rollouts() {
   if (!Settings.Rollouts)
     return {};
-  std::map<std::string, rollout_order> Orders;
+  rollout_orders::read_orders Rows;
   for (const auto &[Key, Row] : Mirror.rows(store_table::Operators)) {
     if (!platform::isRolloutKey(Key))
       continue;
     const result<rollout_order> Order = platform::decodeRolloutOrder(Row);
     const error *Error = errorOf(Order);
-    if (!Error) {
-      Orders.emplace(Key, valueOf(Order));
-      continue;
-    }
-    const auto Before = LastOrders.find(Key);
-    if (std::exchange(UnreadableOrders[Key], Row.Version) != Row.Version)
-      logLine(
-          log_level::Error, "row-decode-failed",
-          {{"why", Error->Message},
-           {"order_kept", Before != LastOrders.end() ? Before->second.Id : 0}});
-    if (Before != LastOrders.end())
-      Orders.insert(*Before);
+    Rows[Key] = Error ? std::nullopt : std::optional(valueOf(Order));
+    if (Error &&
+        std::exchange(UnreadableOrders[Key], Row.Version) != Row.Version)
+      logLine(log_level::Error, "row-decode-failed",
+              {{"why", Error->Message},
+               {"order_in_force", RolloutOrders.idOf(Key)}});
   }
-  LastOrders = std::move(Orders);
-  std::vector<rollout_order> List;
-  List.reserve(LastOrders.size());
-  for (const auto &[Key, Order] : LastOrders)
-    List.push_back(Order);
-  return List;
+  RolloutOrders.update(Rows);
+  return RolloutOrders.inForce();
 }
 
 void fleet_state::retainExpiredServers(
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -7,6 +7,7 @@
 #include "agatedale/leaving_servers.h"
 #include "agatedale/outage_grace_period.h"
 #include "agatedale/restored_store.h"
+#include "agatedale/rollout_orders.h"
 #include "agatedale/server_registrations.h"
 #include "agatedale/store_follower.h"
 #include "agatedale/store_mirror.h"
@@ -201,7 +202,7 @@
   restored_servers RestoredServers;
   restored_vms RestoredVms;
   configuration_catch_up CatchUp;
-  std::map<std::string, rollout_order> LastOrders; ///< By the row's key.
+  rollout_orders RolloutOrders;
   /// Versions of the orders of rollouts that could not be read, so that each
   /// is logged once.
   std::map<std::string, store_version> UnreadableOrders;
