Configuration faults: where a request may be placed is decided in the core

A request that waited for a server and is refused for a fault of its account is told the same time as one that arrives, and not the shortest one.

--- a/include/agatedale/configuration_faults.h
+++ b/include/agatedale/configuration_faults.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include "agatedale/configuration.h"
+#include "agatedale/verdict.h"
 
+#include <span>
 #include <string>
 #include <vector>
 
@@ -18,4 +20,10 @@
 ///     log(Fault);
 std::vector<std::string> findFaults(const configuration &Config);
 
+/// Returns why no server of \p Service in the regions \p Homes may serve a
+/// request; None if one may. Empty \p Homes allow every region.
+refusal_reason reasonNotToPlace(const configuration &Config,
+                                const std::string &Service,
+                                std::span<const std::string> Homes);
+
 } // namespace agatedale
--- a/src/config/configuration_faults.cpp
+++ b/src/config/configuration_faults.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace agatedale {
 
 namespace {
@@ -48,4 +50,17 @@
   return Faults;
 }
 
+refusal_reason reasonNotToPlace(const configuration &Config,
+                                const std::string &Service,
+                                std::span<const std::string> Homes) {
+  if (!Config.faultOfService(Service).empty())
+    return refusal_reason::RouteUnusable;
+  const bool HasKnownHome =
+      Homes.empty() ||
+      std::any_of(Homes.begin(), Homes.end(), [&](const std::string &Region) {
+        return Config.isRegionKnown(Region);
+      });
+  return HasKnownHome ? refusal_reason::None : refusal_reason::RegionUnknown;
+}
+
 } // namespace agatedale
--- a/src/core/accounts/account_directory.cpp
+++ b/src/core/accounts/account_directory.cpp
@@ -90,7 +90,7 @@
                             "same key",
                             Other->Name, positionOf(Key, *Other), Account.Name,
                             positionOf(Key, Account))
-              : fmt::format("account '{}': key {} is withheld for another one",
+              : fmt::format("account '{}': another one holds key {}, too",
                             Account.Name, positionOf(Key, Account)));
   }
 }
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -3,6 +3,7 @@
 #include "request_router.h"
 
 #include "../core/log.h"
+#include "agatedale/configuration_faults.h"
 #include "agatedale/retry_after.h"
 #include "body_parts.h"
 #include "platform/headers.h"
@@ -298,22 +299,6 @@
   place(Exchange, *Route, Admission);
 }
 
-/// Returns why the configuration lets no server of \p Service in \p Homes serve
-/// a request; None if it does.
-refusal_reason
-request_router::reasonNotToPlace(const std::string &Service,
-                                 std::span<const std::string> Homes) const {
-  const configuration &Config = *Snapshot->Config;
-  if (!Config.faultOfService(Service).empty())
-    return refusal_reason::RouteUnusable;
-  const bool HasKnownHome =
-      Homes.empty() ||
-      std::any_of(Homes.begin(), Homes.end(), [&](const std::string &Region) {
-        return Config.isRegionKnown(Region);
-      });
-  return HasKnownHome ? refusal_reason::None : refusal_reason::RegionUnknown;
-}
-
 /// Sends a request that was admitted to the owner of a server group.
 void request_router::place(const std::shared_ptr<caller_exchange> &Exchange,
                            const route &Route,
@@ -332,7 +317,8 @@
   }
   const std::string &Service =
       RouteSplits[Route.Name].next(Route.Split, Random);
-  const refusal_reason Unusable = reasonNotToPlace(Service, *Homes);
+  const refusal_reason Unusable =
+      reasonNotToPlace(*Snapshot->Config, Service, *Homes);
   if (Unusable != refusal_reason::None) {
     refuseImmediately(Exchange, {Unusable, FaultRetryAfter, false,
                                  Account ? Account->Name : ""});
@@ -739,6 +725,8 @@
     return;
   recordReturn(*ActiveRequest, Response.Verdict);
   if (Response.Verdict == verdict::NotRun) {
+    if (Response.Reason == refusal_reason::AccountUnusable)
+      Response.RetryAfter = FaultRetryAfter;
     // The time of a quota has its jitter already.
     if (Response.Reason != refusal_reason::QuotaExceeded)
       Response.RetryAfter = withJitter(Response.RetryAfter);
--- a/src/gateway/request_router.h
+++ b/src/gateway/request_router.h
@@ -141,8 +141,6 @@
   void retainRouteSplits();
   void refuseSuperseded(const std::shared_ptr<caller_exchange> &Exchange);
   account_admission admit(const route &Route, caller_exchange &Exchange);
-  refusal_reason reasonNotToPlace(const std::string &Service,
-                                  std::span<const std::string> Homes) const;
   void place(const std::shared_ptr<caller_exchange> &Exchange,
              const route &Route, const account_admission &Admission);
   /// Refuses a request whose account has been refused a moment ago. Returns
