--- a/review/harness-3/gateway.cpp
+++ b/review/harness-3/gateway.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -34,6 +35,8 @@
   ::dup2(File, STDOUT_FILENO);
   ::dup2(File, STDERR_FILENO);
   ::close_range(STDERR_FILENO + 1, std::numeric_limits<unsigned>::max(), 0);
+  // It ends with its starter, also if that one is killed.
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
   // The platform allows a process the descriptors that its settings name.
   const rlimit Descriptors{MaxDescriptors, MaxDescriptors};
   ::setrlimit(RLIMIT_NOFILE, &Descriptors);
